Count proposed runs against the spread limit, repeat lost calls without a tight loop, free runs that were never sent

Change: count run records; tell NotSent from NoResponse and give such a run back; pause 20 ms before a repeat; elections after 600 to 1,000 ms.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -107,6 +107,7 @@
         runs[run.task] = record
         worker.add(record)
         use.add(record.team, record.demand)
+        record.proposedAt = startedAt
         if (job.phase.isFinal) record.stopWanted = true
         return record
     }
@@ -217,6 +218,7 @@
         val record = runs[end.run.task]
         if (record != null && record.run == end.run) {
             untrack(record)
+            note(DispatchEvent.RUN_ENDED, end.run.task.toString(), "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} after=${now - record.proposedAt}ms")
             learn(record, end, now)
         }
         val job = state.job(end.run.task.job) ?: return
@@ -273,9 +275,9 @@
                 is WorkerReply.Done -> reply.clockMillis
                 is WorkerReply.Refused -> reply.clockMillis
                 is WorkerReply.Runs -> reply.clockMillis
-                WorkerReply.NoResponse -> null
+                WorkerReply.NotSent, WorkerReply.NoResponse -> null
             }
-        if (reply == WorkerReply.NoResponse) {
+        if (reply == WorkerReply.NoResponse || reply == WorkerReply.NotSent) {
             if (worker.unanswered++ == UNANSWERED_TO_NOTE) note(DispatchEvent.WORKER_UNREACHABLE, worker.life.id, "unanswered=${worker.unanswered}")
             return
         }
@@ -305,9 +307,10 @@
             }
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
             is WorkerReply.Runs -> Unit
+            WorkerReply.NotSent -> if (record.uncertain) record.retryAt = now + settings.retryMillis else rejected(record, now)
             WorkerReply.NoResponse -> {
                 record.uncertain = true
-                record.retryAt = now
+                record.retryAt = now + RESEND_MILLIS
                 note(DispatchEvent.START_UNANSWERED, record.run.task.toString(), "worker=${record.worker.life.id}")
             }
         }
@@ -318,7 +321,7 @@
         reason: RefusalReason,
         now: Long,
     ) {
-        note(DispatchEvent.RUN_REFUSED, record.run.task.toString(), "worker=${record.worker.life.id} reason=$reason")
+        note(DispatchEvent.RUN_REFUSED, record.run.task.toString(), "run=${record.run.number} worker=${record.worker.life.id} reason=$reason")
         record.retryAt = now + settings.retryMillis
         when (reason) {
             RefusalReason.LATE, RefusalReason.FENCED -> return
@@ -363,7 +366,7 @@
     ) {
         worker.renewInFlight = false
         if (reply !is WorkerReply.Runs) {
-            worker.renewDueAt = now + if (reply == WorkerReply.NoResponse && worker.unanswered <= 1) 0 else settings.retryMillis
+            worker.renewDueAt = now + if (reply == WorkerReply.NoResponse && worker.unanswered <= 1) RESEND_MILLIS else settings.retryMillis
             return
         }
         worker.renewDueAt = now
@@ -476,7 +479,7 @@
         planDueAt = now + PLAN_PERIOD_MILLIS
         eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
         val usable = workers.values.filter { isUsable(it, now) }
-        val planned = planner.plan(usable, { it in runs }, now)
+        val planned = planner.plan(usable, { runs[it] }, now)
         if (planned.isEmpty()) return
         planned.forEach { run ->
             // The planner has counted it for the team already.
@@ -624,6 +627,9 @@
         const val PER_MILLE = 1_000L
         const val EXPIRY_MARGIN_MILLIS = 200L
         const val PLAN_PERIOD_MILLIS = 100L
+
+        /** A lost call is repeated at once, but never in a tight loop. */
+        const val RESEND_MILLIS = 20L
         const val FAILURES_TO_DISTRUST = 3
         const val UNANSWERED_TO_NOTE = 1
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -32,7 +32,7 @@
     /** Places what can be placed on [workers], which lists only those that may be given work. */
     fun plan(
         workers: List<WorkerRecord>,
-        isTaken: (TaskId) -> Boolean,
+        runOf: (TaskId) -> RunRecord?,
         now: Long,
     ): List<PlannedRun> {
         val configuration = state.configuration ?: return emptyList()
@@ -40,7 +40,7 @@
         workers.forEach { free[it] = it.free }
         val out = ArrayList<PlannedRun>()
         val byPool = workers.groupBy { it.report?.pool }
-        candidates(configuration, isTaken).forEach { candidate ->
+        candidates(configuration, runOf).forEach { candidate ->
             val pool = byPool[candidate.queue.pool].orEmpty()
             val placed = place(candidate, configuration, pool, free, now)
             placed.forEach { run ->
@@ -54,7 +54,7 @@
 
     private fun candidates(
         configuration: Configuration,
-        isTaken: (TaskId) -> Boolean,
+        runOf: (TaskId) -> RunRecord?,
     ): List<Candidate> {
         val out = ArrayList<Candidate>()
         val queues = configuration.queues.associateBy { it.name }
@@ -66,9 +66,9 @@
                 val waiting =
                     step.tasks.indices.filter { i ->
                         val task = step.tasks[i]
-                        !task.done && task.worker == null && !isTaken(TaskId(job.id, 0, index, i))
+                        !task.done && task.worker == null && runOf(TaskId(job.id, 0, index, i)) == null
                     }
-                if (waiting.isNotEmpty()) out += Candidate(job, queue, index, waiting)
+                if (waiting.isNotEmpty()) out += Candidate(job, queue, index, waiting, runOf)
             }
         }
         out.sortWith(compareBy({ it.queue.priority }, { it.job.acceptedAtMillis }))
@@ -144,7 +144,7 @@
         val team = candidate.job.request.team
         val open = able.filter { tickets == null || it in tickets }
         val room = HashMap<WorkerRecord, Resources>()
-        val onWorker = candidate.countByWorker()
+        val onWorker = if (spec.spreadLimit > 0) candidate.countByWorker() else HashMap()
         val out = ArrayList<PlannedRun>()
         var teamUse = use.of(team)
         val nextRun = if (spec.gang) candidate.tasks.maxOf { it.run } + 1 else 0
@@ -177,13 +177,15 @@
         val queue: Queue,
         val step: Int,
         val waiting: List<Int>,
+        private val runOf: (TaskId) -> RunRecord?,
     ) {
         val spec: StepSpec get() = job.request.steps[step]
         val tasks get() = job.steps[step].tasks
 
+        /** Runs of the step that may exist or are about to be proposed, by worker. */
         fun countByWorker(): HashMap<String, Int> {
             val out = HashMap<String, Int>()
-            tasks.forEach { task -> task.worker?.let { out.merge(it.id, 1, Int::plus) } }
+            tasks.indices.forEach { i -> runOf(TaskId(job.id, 0, step, i))?.let { out.merge(it.worker.life.id, 1, Int::plus) } }
             return out
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
@@ -68,6 +68,9 @@
         val ended: List<NumberedEnd>,
     ) : WorkerReply
 
+    /** No connection could be had, so nothing was sent. */
+    data object NotSent : WorkerReply
+
     /** Nothing came back: the call may have been carried out, or may be later. */
     data object NoResponse : WorkerReply
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -35,9 +35,9 @@
     val wantedVoters: Int,
     val dispatch: DispatchSettings = DispatchSettings(),
     val snapshotEvery: Long = 4_000,
-    val heartbeatMillis: Long = 150,
-    val electionMinMillis: Long = 800,
-    val electionMaxMillis: Long = 1_300,
+    val heartbeatMillis: Long = 120,
+    val electionMinMillis: Long = 600,
+    val electionMaxMillis: Long = 1_000,
     val seed: Long = 1,
 )
 
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpCaller.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpCaller.kt
@@ -28,7 +28,20 @@
 ) {
     private val pools = ConcurrentHashMap<String, ArrayDeque<Connection>>()
 
-    /** The answer of the server at [address]; null when none came within [timeoutMillis]. */
+    /** What came of a call. */
+    sealed interface Outcome {
+        class Answered(
+            val reply: HttpReply,
+        ) : Outcome
+
+        /** Nothing came back: the call may have been carried out, or may be later. */
+        data object NoAnswer : Outcome
+
+        /** No connection could be had, so nothing was sent. */
+        data object NotSent : Outcome
+    }
+
+    /** Calls the server at [address] and waits [timeoutMillis] at most. */
     suspend fun call(
         address: String,
         method: String,
@@ -36,16 +49,18 @@
         headers: List<Pair<String, String>>,
         body: ByteArray,
         timeoutMillis: Long,
-    ): HttpReply? {
+    ): Outcome {
         var connection: Connection? = null
+        var sent = false
         try {
             return withTimeout(timeoutMillis) {
                 val current = rested(address) ?: open(address)
                 connection = current
+                sent = true
                 val reply = exchange(current, address, method, path, headers, body)
                 if (current.reusable) rest(address, current) else current.close()
                 connection = null
-                reply
+                Outcome.Answered(reply)
             }
         } catch (_: TimeoutCancellationException) {
             forget(address)
@@ -58,7 +73,7 @@
         } finally {
             connection?.close()
         }
-        return null
+        return if (sent) Outcome.NoAnswer else Outcome.NotSent
     }
 
     private fun rested(address: String): Connection? {
