--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -37,6 +37,7 @@
 /** Decisions and observations of a [Dispatcher] that an operator may need later. */
 enum class DispatchEvent {
     RUN_ASSIGNED,
+    RUN_STARTED,
     RUN_ENDED,
     RUN_LOST,
     RUN_REFUSED,
@@ -206,7 +207,10 @@
                     record.stage = RunStage.STARTING
                     giveUp(record.worker, now)
                 }
-                else -> record.stage = RunStage.STARTING
+                else -> {
+                    record.stage = RunStage.STARTING
+                    record.committedAt = now
+                }
             }
         }
     }
@@ -218,7 +222,7 @@
         val record = runs[end.run.task]
         if (record != null && record.run == end.run) {
             untrack(record)
-            note(DispatchEvent.RUN_ENDED, end.run.task.toString(), "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} after=${now - record.proposedAt}ms")
+            note(DispatchEvent.RUN_ENDED, end.run.task.toString(), "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} after=${now - record.proposedAt}ms committed=${now - record.listedAt}ms")
             learn(record, end, now)
         }
         val job = state.job(end.run.task.job) ?: return
@@ -303,6 +307,7 @@
                 record.stage = RunStage.RUNNING
                 record.uncertain = false
                 record.confirmedAt = now
+                note(DispatchEvent.RUN_STARTED, record.run.task.toString(), "run=${record.run.number} worker=${record.worker.life.id} committed=${record.committedAt - record.proposedAt}ms after=${now - record.proposedAt}ms")
                 if (record.worker.renewDueAt > now) record.worker.renewDueAt = now
             }
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
@@ -413,7 +418,7 @@
         val fresh = reply.ended.filter { it.number > worker.proposedSeen }
         if (fresh.isEmpty()) return
         worker.proposedSeen = fresh.maxOf { it.number }
-        fresh.forEach { numbered -> runs[numbered.end.run.task]?.takeIf { it.run == numbered.end.run }?.ending = true }
+        fresh.forEach { numbered -> runs[numbered.end.run.task]?.takeIf { it.run == numbered.end.run }?.listed(now) }
         propose(FlowCommand.Ended(fresh.map { it.end }, now, worker.life, worker.proposedSeen))
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -36,6 +36,8 @@
     var uncertain = false
     var retryAt = 0L
     var proposedAt = 0L
+    var committedAt = 0L
+    var listedAt = 0L
 
     /** When the worker's word came that it has this run. */
     var confirmedAt = Long.MAX_VALUE
@@ -46,4 +48,10 @@
 
     /** Its end was proposed to the log. */
     var ending = false
+
+    /** The worker listed its end. */
+    fun listed(now: Long) {
+        ending = true
+        listedAt = now
+    }
 }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -76,7 +76,9 @@
 
     /** Scope of everything that deals with sockets. */
     val trafficScope = CoroutineScope(SupervisorJob() + traffic)
-    val selector = SelectorManager(traffic)
+
+    // Waits for sockets in a blocking call, so it must not share the thread of those it wakes.
+    val selector = SelectorManager(Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher())
     private val caller = HttpCaller(selector)
     private val workerClient = workers(caller)
     private val eligibilityClient = eligibility(caller)
