Write each synced batch as one record, so that a torn batch is dropped wherever the power tore it

Cause: a batch of several records was written before its sync; a loss of power that lost its front and kept its back looked like damage in the middle, and the replica refused to start. Change: one record a batch, format version 2; a segment whose header was never synced starts anew. A bad batch with a good one behind it is still refused: the next batch is written only after the sync of the one before. Tests: two new ones fail on the old code; two were changed, as strict, since a batch is now whole or gone (cut short at the end: batch 2 of 2; flipped bit: 9 batches in place of 9 records of one).

--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
@@ -34,11 +34,18 @@
     ) : Record
 }
 
+/** Records that are written and synced together. */
+@Serializable
+internal class Batch(
+    val records: List<Record>,
+)
+
 /**
- * One segment: a header with the format version, then records of length, CRC-32C and CBOR.
+ * One segment: a header with the format version, then batches of length, CRC-32C and CBOR.
  *
- * A record that was cut short at the very end was never synced, so it was never promised, and is dropped. A bad
- * record with a good one behind it is damage: it is refused with file and offset.
+ * The next batch is written only once the last one is synced. So a bad batch with nothing good behind it was never
+ * synced and never promised, wherever a loss of power has torn it, and is dropped. A bad batch with a good one behind
+ * it is damage: it is refused with file and offset.
  */
 internal class RecordFile private constructor(
     val path: Path,
@@ -51,13 +58,11 @@
     var lastIndex = 0L
 
     fun append(records: List<Record>) {
-        val encoded = records.map { QuorumCodec.cbor.encodeToByteArray(serializer, it) }
-        val buffer = ByteBuffer.allocate(encoded.sumOf { it.size + RECORD_HEADER_BYTES })
-        encoded.forEach { body ->
-            buffer.putInt(body.size)
-            buffer.putInt(checksum(body))
-            buffer.put(body)
-        }
+        val body = QuorumCodec.cbor.encodeToByteArray(serializer, Batch(records))
+        val buffer = ByteBuffer.allocate(body.size + BATCH_HEADER_BYTES)
+        buffer.putInt(body.size)
+        buffer.putInt(checksum(body))
+        buffer.put(body)
         buffer.flip()
         while (buffer.hasRemaining()) bytes += channel.write(buffer, bytes)
         records.forEach { if (it is Record.Entry) lastIndex = maxOf(lastIndex, it.entry.index) }
@@ -67,7 +72,7 @@
 
     override fun close() = channel.close()
 
-    /** Reads every record; [isLast] allows a record cut short at the end, which is then removed. */
+    /** Reads every record; [isLast] allows a torn batch at the end, which is then removed. */
     fun readAll(
         isLast: Boolean,
         visit: (Record, Long) -> Unit,
@@ -78,13 +83,14 @@
             val offset = buffer.position()
             val body = bodyAt(buffer, offset)
             if (body == null) {
-                badRecord(buffer, offset, isLast)
+                badBatch(buffer, offset, isLast)
                 return
             }
-            val record = QuorumCodec.cbor.decodeFromByteArray(serializer, body)
-            if (record is Record.Entry) lastIndex = maxOf(lastIndex, record.entry.index)
-            visit(record, offset.toLong())
-            buffer.position(offset + RECORD_HEADER_BYTES + body.size)
+            QuorumCodec.cbor.decodeFromByteArray(serializer, body).records.forEach { record ->
+                if (record is Record.Entry) lastIndex = maxOf(lastIndex, record.entry.index)
+                visit(record, offset.toLong())
+            }
+            buffer.position(offset + BATCH_HEADER_BYTES + body.size)
         }
     }
 
@@ -100,6 +106,12 @@
         }
         val magic = buffer.getInt()
         val version = buffer.getInt()
+        if (magic != MAGIC && isLast && goodBatches(buffer, HEADER_BYTES) <= 1) {
+            // The header is synced with the first batch, before anything else is written.
+            truncate(0)
+            writeHeader()
+            return false
+        }
         if (magic != MAGIC) throw CorruptFileException(path.toString(), 0, "not a log segment")
         if (version != FORMAT_VERSION) throw CorruptFileException(path.toString(), 4, "format version $version, known is $FORMAT_VERSION")
         return true
@@ -109,24 +121,29 @@
         buffer: ByteBuffer,
         offset: Int,
     ): ByteArray? {
-        if (buffer.limit() - offset < RECORD_HEADER_BYTES) return null
+        if (buffer.limit() - offset < BATCH_HEADER_BYTES) return null
         val length = buffer.getInt(offset)
-        if (length <= 0 || length > buffer.limit() - offset - RECORD_HEADER_BYTES) return null
+        if (length <= 0 || length > buffer.limit() - offset - BATCH_HEADER_BYTES) return null
         val body = ByteArray(length)
-        buffer.get(offset + RECORD_HEADER_BYTES, body)
+        buffer.get(offset + BATCH_HEADER_BYTES, body)
         return body.takeIf { checksum(it) == buffer.getInt(offset + 4) }
     }
 
-    private fun badRecord(
+    private fun badBatch(
         buffer: ByteBuffer,
         offset: Int,
         isLast: Boolean,
     ) {
-        val follows = (offset + 1..buffer.limit() - RECORD_HEADER_BYTES).any { bodyAt(buffer, it) != null }
-        if (!isLast || follows) throw CorruptFileException(path.toString(), offset.toLong(), "a record does not match its checksum")
+        if (!isLast || goodBatches(buffer, offset + 1) > 0) throw CorruptFileException(path.toString(), offset.toLong(), "a batch does not match its checksum")
         truncate(offset.toLong())
     }
 
+    /** How many whole batches stand anywhere behind [from]. */
+    private fun goodBatches(
+        buffer: ByteBuffer,
+        from: Int,
+    ): Int = (from..buffer.limit() - BATCH_HEADER_BYTES).count { bodyAt(buffer, it) != null }
+
     private fun truncate(size: Long) {
         channel.truncate(size)
         channel.force(true)
@@ -141,12 +158,11 @@
     }
 
     companion object {
-        // Made once: the serializer of a sealed interface is built anew on each request for it.
-        private val serializer = Record.serializer()
+        private val serializer = Batch.serializer()
         private const val MAGIC = 0x524B4C47
-        private const val FORMAT_VERSION = 1
+        private const val FORMAT_VERSION = 2
         private const val HEADER_BYTES = 8
-        private const val RECORD_HEADER_BYTES = 8
+        private const val BATCH_HEADER_BYTES = 8
 
         fun create(path: Path): RecordFile {
             val channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)
