--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -222,7 +222,11 @@
         val record = runs[end.run.task]
         if (record != null && record.run == end.run) {
             untrack(record)
-            note(DispatchEvent.RUN_ENDED, end.run.task.toString(), "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} after=${now - record.proposedAt}ms committed=${now - record.listedAt}ms")
+            note(
+                DispatchEvent.RUN_ENDED,
+                end.run.task.toString(),
+                "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} after=${now - record.proposedAt}ms committed=${now - record.listedAt}ms",
+            )
             learn(record, end, now)
         }
         val job = state.job(end.run.task.job) ?: return
@@ -232,7 +236,12 @@
         }
         val gang = job.request.steps[end.run.task.step].gang
         if (gang && end.ending != RunEnding.DONE) {
-            runs.values.filter { it.run.task.job == job.id && it.run.task.step == end.run.task.step && it.run.number == end.run.number }.forEach { it.stopWanted = true }
+            runs.values
+                .filter { it.run.task.job == job.id && it.run.task.step == end.run.task.step && it.run.number == end.run.number }
+                .forEach {
+                    it.stopWanted =
+                        true
+                }
         }
     }
 
@@ -282,7 +291,11 @@
                 WorkerReply.NotSent, WorkerReply.NoResponse -> null
             }
         if (reply == WorkerReply.NoResponse || reply == WorkerReply.NotSent) {
-            if (worker.unanswered++ == UNANSWERED_TO_NOTE) note(DispatchEvent.WORKER_UNREACHABLE, worker.life.id, "unanswered=${worker.unanswered}")
+            if (worker.unanswered++ ==
+                UNANSWERED_TO_NOTE
+            ) {
+                note(DispatchEvent.WORKER_UNREACHABLE, worker.life.id, "unanswered=${worker.unanswered}")
+            }
             return
         }
         if (worker.unanswered > UNANSWERED_TO_NOTE) note(DispatchEvent.WORKER_REGAINED, worker.life.id, "")
@@ -291,7 +304,11 @@
             over(worker, now, "another life answers at its address")
             return
         }
-        if (reply is WorkerReply.Refused && reply.reason == RefusalReason.FENCED) note(DispatchEvent.FENCED_OUT, worker.life.id, "term=$term")
+        if (reply is WorkerReply.Refused &&
+            reply.reason == RefusalReason.FENCED
+        ) {
+            note(DispatchEvent.FENCED_OUT, worker.life.id, "term=$term")
+        }
         if (clock != null) worker.readClock(clock, now)
     }
 
@@ -307,7 +324,11 @@
                 record.stage = RunStage.RUNNING
                 record.uncertain = false
                 record.confirmedAt = now
-                note(DispatchEvent.RUN_STARTED, record.run.task.toString(), "run=${record.run.number} worker=${record.worker.life.id} committed=${record.committedAt - record.proposedAt}ms after=${now - record.proposedAt}ms")
+                note(
+                    DispatchEvent.RUN_STARTED,
+                    record.run.task.toString(),
+                    "run=${record.run.number} worker=${record.worker.life.id} committed=${record.committedAt - record.proposedAt}ms after=${now - record.proposedAt}ms",
+                )
                 if (record.worker.renewDueAt > now) record.worker.renewDueAt = now
             }
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
@@ -326,7 +347,11 @@
         reason: RefusalReason,
         now: Long,
     ) {
-        note(DispatchEvent.RUN_REFUSED, record.run.task.toString(), "run=${record.run.number} worker=${record.worker.life.id} reason=$reason")
+        note(
+            DispatchEvent.RUN_REFUSED,
+            record.run.task.toString(),
+            "run=${record.run.number} worker=${record.worker.life.id} reason=$reason",
+        )
         record.retryAt = now + settings.retryMillis
         when (reason) {
             RefusalReason.LATE, RefusalReason.FENCED -> return
@@ -446,7 +471,14 @@
             }
         if (missing.isEmpty()) return
         missing.forEach { it.ending = true }
-        propose(FlowCommand.Ended(missing.map { RunEnd(it.run, if (it.stopAcknowledged) RunEnding.STOPPED else RunEnding.LOST, it.checkpoint) }, now))
+        propose(
+            FlowCommand.Ended(
+                missing.map {
+                    RunEnd(it.run, if (it.stopAcknowledged) RunEnding.STOPPED else RunEnding.LOST, it.checkpoint)
+                },
+                now,
+            ),
+        )
         missing.forEach { note(DispatchEvent.RUN_LOST, it.run.task.toString(), "worker=${worker.life.id} not listed") }
     }
 
@@ -490,7 +522,12 @@
             // The planner has counted it for the team already.
             use.remove(run.team, run.demand)
             track(run.assignment.run, run.worker, RunStage.PROPOSED, run.ticket)?.proposedAt = now
-            note(DispatchEvent.RUN_ASSIGNED, run.assignment.run.task.toString(), "run=${run.assignment.run.number} worker=${run.worker.life.id}")
+            note(
+                DispatchEvent.RUN_ASSIGNED,
+                run.assignment.run.task
+                    .toString(),
+                "run=${run.assignment.run.number} worker=${run.worker.life.id}",
+            )
         }
         propose(FlowCommand.Assign(planned.map { it.assignment }))
     }
@@ -540,7 +577,8 @@
             return now - startedAt > slowest + EXPIRY_MARGIN_MILLIS
         }
         if (worker.unanswered == 0) return false
-        val inherited = now - startedAt <= settings.leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + EXPIRY_MARGIN_MILLIS
+        val inherited =
+            now - startedAt <= settings.leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + EXPIRY_MARGIN_MILLIS
         return !inherited && worker.clockAtLeast(now, settings.slowClockPerMille) > worker.grantedUntil + EXPIRY_MARGIN_MILLIS
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityDesk.kt
@@ -139,7 +139,10 @@
     }
 
     private fun expire(now: Long) {
-        open.entries.filter { it.value.expiresAt <= now }.map { it.key }.forEach { answered(EligibilityReply(it, null), now) }
+        open.entries
+            .filter { it.value.expiresAt <= now }
+            .map { it.key }
+            .forEach { answered(EligibilityReply(it, null), now) }
     }
 
     private class Caller {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -152,14 +152,24 @@
             if (!fitsCeiling(teamUse + spec.demand, ceiling)) break
             val worker =
                 open
-                    .filter { spec.demand.fitsIn(room[it] ?: free.getValue(it)) && (spec.spreadLimit == 0 || (onWorker[it.life.id] ?: 0) < spec.spreadLimit) }
-                    .minByOrNull { (room[it] ?: free.getValue(it)).milliCpus } ?: break
+                    .filter {
+                        spec.demand.fitsIn(room[it] ?: free.getValue(it)) &&
+                            (spec.spreadLimit == 0 || (onWorker[it.life.id] ?: 0) < spec.spreadLimit)
+                    }.minByOrNull { (room[it] ?: free.getValue(it)).milliCpus } ?: break
             room[worker] = (room[worker] ?: free.getValue(worker)) - spec.demand
             onWorker.merge(worker.life.id, 1, Int::plus)
             teamUse += spec.demand
             val number = if (spec.gang) nextRun else candidate.tasks[index].run + 1
             val run = RunId(TaskId(candidate.job.id, 0, candidate.step, index), number)
-            out += PlannedRun(Assignment(run, worker.life), worker, team, candidate.queue.name, spec.demand, tickets?.get(worker)?.text.orEmpty())
+            out +=
+                PlannedRun(
+                    Assignment(run, worker.life),
+                    worker,
+                    team,
+                    candidate.queue.name,
+                    spec.demand,
+                    tickets?.get(worker)?.text.orEmpty(),
+                )
         }
         return if (spec.gang && out.size < spec.count) emptyList() else out
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -148,7 +148,11 @@
                 note(NodeLogEvent.DISK_FAILED, self.address, event.reason)
                 drive(ReplicaEvent.PersistFailed(event.reason), now)
             }
-            is NodeEvent.WorkerReplied -> dispatcher?.takeIf { event.call.fencingToken == replica.term }?.replied(event.call, event.reply, event.sentAt, now)
+            is NodeEvent.WorkerReplied ->
+                dispatcher
+                    ?.takeIf {
+                        event.call.fencingToken == replica.term
+                    }?.replied(event.call, event.reply, event.sentAt, now)
             is NodeEvent.EligibilityReplied -> eligibility(event, now)
             NodeEvent.Shutdown -> {
                 drainingSince = now
@@ -358,7 +362,8 @@
     ) {
         when (effect) {
             is ReplicaEffect.Send ->
-                effects += NodeEffect.Send(MembershipKeeper.machineOf(effect.to), NodeFrame.Replica(self.replica, effect.to.name, effect.message))
+                effects +=
+                    NodeEffect.Send(MembershipKeeper.machineOf(effect.to), NodeFrame.Replica(self.replica, effect.to.name, effect.message))
             is ReplicaEffect.Persist -> effects += NodeEffect.Persist(effect)
             is ReplicaEffect.Apply -> effect.entries.forEach { apply(it, now) }
             is ReplicaEffect.Restore -> state.restore(effect.snapshot.state)
@@ -386,7 +391,12 @@
 
     private fun noteApplied(command: FlowCommand) {
         when (command) {
-            is FlowCommand.Submit -> note(NodeLogEvent.JOB_ACCEPTED, command.request.id, "queue=${command.request.queue} team=${command.request.team}")
+            is FlowCommand.Submit ->
+                note(
+                    NodeLogEvent.JOB_ACCEPTED,
+                    command.request.id,
+                    "queue=${command.request.queue} team=${command.request.team}",
+                )
             is FlowCommand.Cancel -> note(NodeLogEvent.JOB_CANCELLED, command.job)
             is FlowCommand.Configure -> note(NodeLogEvent.CONFIGURATION_APPLIED, command.configuration.version.toString())
             is FlowCommand.SetZone -> note(NodeLogEvent.ZONE_CHANGED, command.zone, "drained=${command.drained}")
@@ -412,7 +422,13 @@
 
     private fun status(now: Long): NodeFrame.Status {
         val known = replica.members.all.map { MembershipKeeper.machineOf(it) } + controls() + self.address
-        return NodeFrame.Status(known.toSortedSet().toList(), leaderAddress(now), replica.term, serving(now) && drainingSince == 0L, state.configuration?.limits)
+        return NodeFrame.Status(
+            known.toSortedSet().toList(),
+            leaderAddress(now),
+            replica.term,
+            serving(now) && drainingSince == 0L,
+            state.configuration?.limits,
+        )
     }
 
     private fun announce(now: Long) {
@@ -441,7 +457,9 @@
     }
 
     private fun connect() {
-        val wanted = config.seeds + replica.members.all.map { MembershipKeeper.machineOf(it) } + statuses.values.flatMap { it.status.controls } - self.address
+        val wanted =
+            config.seeds + replica.members.all.map { MembershipKeeper.machineOf(it) } + statuses.values.flatMap { it.status.controls } -
+                self.address
         if (wanted == connected) return
         connected = wanted
         effects += NodeEffect.Connect(wanted)
@@ -487,6 +505,7 @@
 
     private companion object {
         val COMMANDS = FlowCommand.serializer()
+
         /** Small enough that a replica that catches up does not hold up the others. */
         const val MAX_APPEND_BYTES = 48 * 1024
         const val SNAPSHOT_CHUNK_BYTES = 48 * 1024
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
@@ -79,7 +79,11 @@
     }
 
     private fun chooseLeader(now: Long) {
-        val best = controls.entries.filter { it.value.status.serving && now - it.value.at < SILENT_MILLIS }.maxByOrNull { it.value.status.term }
+        val best =
+            controls.entries
+                .filter {
+                    it.value.status.serving && now - it.value.at < SILENT_MILLIS
+                }.maxByOrNull { it.value.status.term }
         if (best?.key != leader) {
             note(NodeLogEvent.LEADER_CHANGED, best?.key.orEmpty(), "term=${best?.value?.status?.term} before=$leader")
             leader = best?.key
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderDesk.kt
@@ -56,7 +56,10 @@
     ): Verdict {
         if (!ID.matches(id) || !isSound(request.steps)) return refused(Refusal.INVALID)
         if (state.job(id) != null) return Verdict.Now(FlowAnswer.Done)
-        val team = request.to.key?.let { configuration.teamOfKey(it)?.name }.orEmpty()
+        val team =
+            request.to.key
+                ?.let { configuration.teamOfKey(it)?.name }
+                .orEmpty()
         return Verdict.Commit(FlowCommand.Submit(JobRequest(id, queue.name, team, request.payload, request.steps), now))
     }
 
@@ -82,7 +85,13 @@
 
     private fun configure(next: Configuration): Verdict {
         val known = state.configuration
-        return if (known != null && next.version <= known.version) Verdict.Now(FlowAnswer.Done) else Verdict.Commit(FlowCommand.Configure(next))
+        return if (known != null &&
+            next.version <= known.version
+        ) {
+            Verdict.Now(FlowAnswer.Done)
+        } else {
+            Verdict.Commit(FlowCommand.Configure(next))
+        }
     }
 
     private fun readConfiguration(): FlowAnswer =
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -173,7 +173,12 @@
         checkpoint: String,
     ) {
         val step = job.steps.getOrNull(id.step) ?: return
-        if (job.request.steps[id.step].gang) step.tasks.forEach { it.checkpoint = checkpoint } else step.tasks[id.index].checkpoint = checkpoint
+        if (job.request.steps[id.step].gang) {
+            step.tasks.forEach { it.checkpoint = checkpoint }
+        } else {
+            step.tasks[id.index].checkpoint =
+                checkpoint
+        }
     }
 
     private fun release(
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/EventLog.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/EventLog.kt
@@ -44,7 +44,15 @@
         now: Long,
     ): String {
         val out = StringBuilder(LINE_CHARS)
-        out.append("{\"at\":").append(now).append(",\"node\":\"").append(node).append("\",\"event\":\"").append(note.event.lowercase()).append('"')
+        out
+            .append(
+                "{\"at\":",
+            ).append(now)
+            .append(",\"node\":\"")
+            .append(node)
+            .append("\",\"event\":\"")
+            .append(note.event.lowercase())
+            .append('"')
         if (note.subject.isNotEmpty()) out.append(",\"id\":").append(JsonPrimitive(note.subject))
         if (note.detail.isNotEmpty()) out.append(",\"why\":").append(JsonPrimitive(note.detail))
         return out.append("}\n").toString()
@@ -56,7 +64,11 @@
             val text = StringBuilder(queue.take())
             while (text.length < BATCH_CHARS) text.append(queue.poll() ?: break)
             val lost = dropped.get()
-            if (lost > told) text.append(line(LogNote(NodeLogEvent.LINES_DROPPED.name, "", "lines=${lost - told}"), System.currentTimeMillis()))
+            if (lost >
+                told
+            ) {
+                text.append(line(LogNote(NodeLogEvent.LINES_DROPPED.name, "", "lines=${lost - told}"), System.currentTimeMillis()))
+            }
             told = lost
             out.write(text.toString().toByteArray())
             out.flush()
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
@@ -56,7 +56,8 @@
         var total = 0
         while (true) {
             val line = input.readUTF8Line() ?: throw HttpProblem(STATUS_BAD_REQUEST, "body cut short")
-            val size = line.substringBefore(';').trim().toIntOrNull(HEXADECIMAL) ?: throw HttpProblem(STATUS_BAD_REQUEST, "chunk without a size")
+            val size =
+                line.substringBefore(';').trim().toIntOrNull(HEXADECIMAL) ?: throw HttpProblem(STATUS_BAD_REQUEST, "chunk without a size")
             if (size < 0 || size > maxBytes - total) throw HttpProblem(STATUS_TOO_LARGE, "body over $maxBytes bytes")
             if (size > 0) parts += input.readByteArray(size)
             total += size
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
@@ -169,7 +169,10 @@
         bounds: RequestLimits,
     ): HttpRequest {
         var headerBytes = head.uri.length
-        head.headers.offsets().forEach { headerBytes += head.headers.nameAtOffset(it).length + head.headers.valueAtOffset(it).length + HEADER_EXTRA_BYTES }
+        head.headers.offsets().forEach {
+            headerBytes +=
+                head.headers.nameAtOffset(it).length + head.headers.valueAtOffset(it).length + HEADER_EXTRA_BYTES
+        }
         if (headerBytes > bounds.maxHeaderBytes) throw HttpProblem(STATUS_HEADERS_TOO_LARGE, "headers of $headerBytes bytes")
         if (head.headers["Expect"]?.contains("100-continue", ignoreCase = true) == true) {
             out.writeByteArray(CONTINUE)
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -131,7 +131,8 @@
                 }
             var peer: NodeIdentity? = null
             try {
-                val hello = withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES) } as? NodeFrame.Hello ?: throw IOException("no greeting")
+                val hello =
+                    withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES) } as? NodeFrame.Hello ?: throw IOException("no greeting")
                 peer = hello.from
                 links.getOrPut(peer.address) { ArrayDeque() }.addLast(link)
                 listener.up(peer)
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
@@ -134,7 +134,11 @@
         offset: Int,
         isLast: Boolean,
     ) {
-        if (!isLast || goodBatches(buffer, offset + 1) > 0) throw CorruptFileException(path.toString(), offset.toLong(), "a batch does not match its checksum")
+        if (!isLast ||
+            goodBatches(buffer, offset + 1) > 0
+        ) {
+            throw CorruptFileException(path.toString(), offset.toLong(), "a batch does not match its checksum")
+        }
         truncate(offset.toLong())
     }
 
