--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -132,6 +132,7 @@
         if (!job.phase.isFinal || job.mayRun()) return
         unfinished.remove(job.id)
         job.steps = emptyList()
+        job.request = job.request.copy(payload = "", steps = emptyList())
     }
 
     private fun assign(assignment: Assignment): Boolean {
@@ -164,7 +165,7 @@
             else -> Unit
         }
         settle(job)
-        if (job.steps.isNotEmpty() && job.steps.all { it.isDone } && !job.phase.isFinal) finish(job, JobPhase.COMPLETED, atMillis)
+        if (!job.phase.isFinal && job.steps.all { it.isDone }) finish(job, JobPhase.COMPLETED, atMillis)
     }
 
     private fun keepCheckpoint(
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -46,11 +46,12 @@
 /**
  * One job.
  *
- * @property steps empty once the job is over and nothing of it can run any more.
+ * @property request without payload and steps once the job is over and nothing of it can run any more.
+ * @property steps empty from then on, too.
  */
 @Serializable
 class Job(
-    val request: JobRequest,
+    var request: JobRequest,
     val acceptedAtMillis: Long,
     var steps: List<Step>,
     var phase: JobPhase = JobPhase.QUEUED,
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -18,6 +18,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 
 @DisplayName("the replicated state of jobs")
@@ -129,6 +130,19 @@
         expectThat(state.configuration?.document).isEqualTo("document 7")
     }
 
+    @Test
+    fun `keeps of a job that is over only what callers may still ask for`() {
+        submit("a", step())
+        val before = state.snapshot().size
+        assign(run("a"))
+        ended(run("a"))
+        expectThat(state.job("a")?.request?.payload).isEqualTo("")
+        expectThat(state.snapshot().size).isLessThan(before)
+        expectThat(phase("a")).isEqualTo(JobPhase.COMPLETED)
+        ended(run("a"))
+        expectThat(phase("a")).isEqualTo(JobPhase.COMPLETED)
+    }
+
     @Test
     fun `forgets jobs that ended long ago, and no others`() {
         submit("old", step(), at = 0)
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
@@ -17,7 +17,7 @@
     private val folder: Path,
     private val segmentBytes: Long = 16L * 1024 * 1024,
 ) : Storage {
-    private val snapshots = SnapshotFiles(folder.also { Files.createDirectories(it) })
+    private val snapshots = SnapshotFiles(folder.also { create(it) })
     private val segments = ArrayList<RecordFile>()
     private var hard = HardState()
     private var number = 0L
@@ -111,6 +111,13 @@
     override fun close() = segments.forEach { it.close() }
 
     private companion object {
+        /** Makes [folder], so that it is still there after a loss of power. */
+        fun create(folder: Path) {
+            if (Files.isDirectory(folder)) return
+            Files.createDirectories(folder)
+            folder.toAbsolutePath().parent?.let { FolderSync.sync(it) }
+        }
+
         const val PREFIX = "log-"
         const val SUFFIX = ".seg"
         const val NUMBER_DIGITS = 12
