Let no cancellation by the network library end dialling, accepting or a worker's call for good

By reading: a cancellation or runtime error inside the library ended the coroutine that dials or accepts, or a worker's call without a reply, which kept run and worker waiting for good. Change: each goes on unless its own coroutine ends; twenty such failures in a row end the process with code 4, so that it is started anew.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
@@ -35,5 +35,6 @@
     ZONE_CHANGED,
     REQUEST_REFUSED,
     REQUEST_UNKNOWN,
+    CALL_FAILED,
     LINES_DROPPED,
 }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpCaller.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpCaller.kt
@@ -14,6 +14,8 @@
 import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
 import rhubarbknot.wire.Addresses
 import java.io.IOException
@@ -64,8 +66,9 @@
             }
         } catch (_: TimeoutCancellationException) {
             forget(address)
-        } catch (e: CancellationException) {
-            throw e
+        } catch (_: CancellationException) {
+            // The library cancels a broken connection's channels, which is no end of this call's own coroutine.
+            currentCoroutineContext().ensureActive()
         } catch (_: IOException) {
             // The caller of this function learns of it as "no answer".
         } catch (_: IllegalStateException) {
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
@@ -19,7 +19,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
@@ -62,6 +64,11 @@
                     val socket =
                         try {
                             bound.accept()
+                        } catch (_: CancellationException) {
+                            // The library cancels, too: only this coroutine's own end ends the accepting.
+                            currentCoroutineContext().ensureActive()
+                            delay(ACCEPT_PAUSE_MILLIS)
+                            continue
                         } catch (_: IOException) {
                             delay(ACCEPT_PAUSE_MILLIS)
                             continue
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -1,12 +1,15 @@
 package rhubarbknot.flowd
 
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import rhubarbknot.flow.dispatch.EligibilityReply
 import rhubarbknot.flow.dispatch.WorkerCall
@@ -82,7 +85,8 @@
     private val caller = HttpCaller(selector)
     private val workerClient = workers(caller)
     private val eligibilityClient = eligibility(caller)
-    private val links = PeerLinks(self, trafficScope, selector, this)
+    private val links =
+        PeerLinks(self, trafficScope, selector, this) { log.write(LogNote(NodeLogEvent.CALL_FAILED.name, self.address, it)) }
     private val clock = SteadyClock()
     private val events = Channel<NodeEvent>(Channel.UNLIMITED)
     private val writes = Channel<NodeEffect.Persist>(Channel.UNLIMITED)
@@ -111,8 +115,8 @@
         val node = make(clock.millis())
         controlScope.launch { controlLoop(node) }
         diskScope.launch { diskLoop() }
+        trafficScope.launch { links.listen() }
         trafficScope.launch {
-            links.listen()
             while (true) {
                 events.send(NodeEvent.Tick)
                 delay(TICK_MILLIS)
@@ -149,6 +153,12 @@
         events.trySend(NodeEvent.LinkDown(address))
     }
 
+    override fun broken(why: String) {
+        System.err.println("the network can't be used any more: $why")
+        System.err.flush()
+        exitProcess(EXIT_NETWORK)
+    }
+
     override fun received(
         from: NodeIdentity,
         frame: NodeFrame,
@@ -202,12 +212,31 @@
 
     private suspend fun callWorker(effect: NodeEffect.CallWorker) {
         val sentAt = clock.millis()
-        val reply = workerClient?.call(effect.call, effect.timeoutMillis) ?: WorkerReply.NoResponse
+        // A call that never came to an answer would keep its run or its worker waiting for good.
+        val reply =
+            try {
+                workerClient?.call(effect.call, effect.timeoutMillis)
+            } catch (e: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                null
+            } catch (e: RuntimeException) {
+                log.write(LogNote(NodeLogEvent.CALL_FAILED.name, effect.call.worker.id, e.toString()))
+                null
+            } ?: WorkerReply.NoResponse
         events.trySend(NodeEvent.WorkerReplied(effect.call, reply, sentAt))
     }
 
     private suspend fun askEligibility(effect: NodeEffect.AskEligibility) {
-        val tickets = eligibilityClient?.ask(effect.step, effect.workers, effect.timeoutMillis)
+        val tickets =
+            try {
+                eligibilityClient?.ask(effect.step, effect.workers, effect.timeoutMillis)
+            } catch (e: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                null
+            } catch (e: RuntimeException) {
+                log.write(LogNote(NodeLogEvent.CALL_FAILED.name, effect.step, e.toString()))
+                null
+            }
         events.trySend(NodeEvent.EligibilityReplied(effect.askedBy, EligibilityReply(effect.number, tickets)))
     }
 
@@ -232,5 +261,6 @@
         const val TICK_MILLIS = 50L
         const val MAX_BATCH = 1_024
         const val EXIT_BROKEN = 3
+        const val EXIT_NETWORK = 4
     }
 }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -14,7 +14,9 @@
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
@@ -30,6 +32,9 @@
 
     fun down(address: String)
 
+    /** Nothing can be reached any more, for [why]; only a new process can help. */
+    fun broken(why: String)
+
     fun received(
         from: NodeIdentity,
         frame: NodeFrame,
@@ -48,9 +53,11 @@
     private val scope: CoroutineScope,
     private val selector: SelectorManager,
     private val listener: LinkListener,
+    private val log: (String) -> Unit = {},
 ) {
     private val links = HashMap<String, ArrayDeque<Link>>()
     private val dials = HashMap<String, Job>()
+    private var unexpectedInARow = 0
 
     suspend fun listen() {
         val (host, port) = Addresses.split(self.address)
@@ -60,6 +67,11 @@
                 val socket =
                     try {
                         bound.accept()
+                    } catch (e: CancellationException) {
+                        currentCoroutineContext().ensureActive()
+                        unexpected("accept: $e")
+                        delay(REDIAL_MILLIS)
+                        continue
                     } catch (_: IOException) {
                         delay(REDIAL_MILLIS)
                         continue
@@ -91,23 +103,33 @@
                 try {
                     val socket = withTimeout(SILENCE_MILLIS) { aSocket(selector).tcp().connect(host, port) { noDelay = true } }
                     guarded(socket)
-                } catch (_: TimeoutCancellationException) {
-                    // Dialled again below.
+                } catch (e: CancellationException) {
+                    // The library cancels, too: only this coroutine's own end ends the dialling.
+                    currentCoroutineContext().ensureActive()
+                    if (e !is TimeoutCancellationException) unexpected("dial $address: $e")
                 } catch (_: IOException) {
                     // Dialled again below.
+                } catch (e: RuntimeException) {
+                    unexpected("dial $address: $e")
                 }
             }
             delay(REDIAL_MILLIS)
         }
     }
 
+    /** Tells of what no lost peer explains; when nothing else happens any more, the process can't reach anybody. */
+    private fun unexpected(what: String) {
+        log(what)
+        if (++unexpectedInARow >= UNEXPECTED_TO_GIVE_UP) listener.broken(what)
+    }
+
     private suspend fun guarded(socket: Socket) {
         try {
             socket.use { serve(it) }
         } catch (_: TimeoutCancellationException) {
             // The listener is told by serve.
-        } catch (e: CancellationException) {
-            if (!scope.isActive) throw e
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
         } catch (_: IOException) {
             // The listener is told by serve.
         } catch (_: RuntimeException) {
@@ -135,6 +157,7 @@
                     withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES) } as? NodeFrame.Hello ?: throw IOException("no greeting")
                 peer = hello.from
                 links.getOrPut(peer.address) { ArrayDeque() }.addLast(link)
+                unexpectedInARow = 0
                 listener.up(peer)
                 while (true) {
                     val frame = withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES) }
@@ -205,6 +228,7 @@
         const val GREETING_MILLIS = 500L
         const val REDIAL_MILLIS = 150L
         const val QUEUE_FRAMES = 4_096
+        const val UNEXPECTED_TO_GIVE_UP = 20
 
         /** Well below what a socket takes without its peer reading; a peer greets twice a second at least. */
         const val WINDOW_BYTES = 24 * 1024
