Ask a worker again after a lost call, and give up on no worker for good

Cause: a call that was not answered marks its worker as silent until the next answer, but an idle worker was never called again, so a single refused connection, a reset or a cut that outlived its runs took the worker out until it was born anew. Ruled out: elections (the leader served, 1,710 starts were still sent) and storage. Change: an idle worker that still reports is asked for its lists until it answers. Before and after: the new DispatcherSpec case fails on the old code (no call at all) and passes.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -639,7 +639,7 @@
         val unacknowledged = worker.seen > worker.acknowledged
         // Ends that are not committed yet would come back at once.
         if (worker.fenced && worker.proposedSeen > worker.seen) return
-        if (worker.fenced && !hasRuns && !unacknowledged) return
+        if (worker.fenced && !hasRuns && !unacknowledged && !mayHaveReturned(worker, now)) return
         worker.renewInFlight = true
         worker.renewSentAt = now
         val wait = if (worker.fenced && worker.unanswered == 0 && hasRuns) settings.renewWaitMillis else 0
@@ -647,6 +647,12 @@
         call(WorkerCall.Renew(worker.life, address, term, worker.seen, deadline, wait), settings.callTimeoutMillis + wait)
     }
 
+    /** Whether an idle [worker], which gets no work after a lost call, still reports and so may answer again. */
+    private fun mayHaveReturned(
+        worker: WorkerRecord,
+        now: Long,
+    ): Boolean = worker.unanswered > 0 && now - worker.reportedAt <= settings.reportTimeoutMillis
+
     private fun call(
         call: WorkerCall,
         timeoutMillis: Long,
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -155,6 +155,17 @@
             expectThat(next.run.number).isEqualTo(2)
         }
 
+        @Test
+        fun `asks an idle worker again after a lost call, and gives it work once it answers`() {
+            workers("w1")
+            submit("a", step())
+            pump().forEach { reply(it, WorkerReply.NotSent) }
+            pump()
+            val asked = pump(300).filterIsInstance<WorkerCall.Renew>().first { it.worker.id == "w1" }
+            reply(asked, runs())
+            expectThat(starts(pump(300)).single().worker.id).isEqualTo("w1")
+        }
+
         @Test
         fun `repeats the same run while the outcome is unknown, and never in a tight loop`() {
             val start = started()
