End a process that can't go on, in place of leaving it standing

Cause: a broken invariant, or the sockets' end, called exitProcess on the very thread that the shutdown hook waits for, so the process stood for good: up, with its ports open and nobody behind them. Errors such as a lack of memory ended the control or disk loop without a word. Change: such a process writes `failed` to its log and halts; every throwable ends it, not only runtime exceptions. Conclusion: its peers and the platform's restart take over, as the design meant it.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
@@ -17,6 +17,7 @@
     STARTED,
     STOPPING,
     STOPPED,
+    FAILED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
     PEER_CONNECTED,
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -29,7 +29,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.system.exitProcess
 
 /** Carries out calls to workers. */
 fun interface WorkerClient {
@@ -154,9 +153,7 @@
     }
 
     override fun broken(why: String) {
-        System.err.println("the network can't be used any more: $why")
-        System.err.flush()
-        exitProcess(EXIT_NETWORK)
+        end(EXIT_NETWORK, "the network can't be used any more: $why")
     }
 
     override fun received(
@@ -176,11 +173,11 @@
                 val effects = node.handle(batch, now)
                 if (NodeEvent.Tick in batch) health = node.health(now)
                 carryOut(effects)
-            } catch (e: RuntimeException) {
-                // A broken invariant must not be carried on with: the process ends, and its peers go on without it.
-                System.err.println("control state is not to be trusted: ${e.stackTraceToString()}")
-                System.err.flush()
-                exitProcess(EXIT_BROKEN)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Throwable) {
+                // A broken invariant or a lack of memory must not be carried on with: its peers go on without this process.
+                end(EXIT_BROKEN, "control state is not to be trusted: ${e.stackTraceToString()}")
             }
             batch.clear()
         }
@@ -251,12 +248,30 @@
                     NodeEvent.Persisted(batch.last().batch.sequence)
                 } catch (e: IOException) {
                     NodeEvent.PersistFailed(e.message ?: e.javaClass.simpleName)
+                } catch (e: CancellationException) {
+                    throw e
+                } catch (e: Throwable) {
+                    end(EXIT_BROKEN, "the log can't be written: ${e.stackTraceToString()}")
+                    return
                 }
             events.trySend(event)
             batch.clear()
         }
     }
 
+    /**
+     * Ends the process at once. Shutdown hooks are left out: they wait for the very threads that can't go on, so that
+     * the process would stand for good in place of being started anew.
+     */
+    private fun end(
+        code: Int,
+        why: String,
+    ) {
+        log.write(LogNote(NodeLogEvent.FAILED.name, self.address, "code=$code $why"))
+        log.close()
+        Runtime.getRuntime().halt(code)
+    }
+
     private companion object {
         const val TICK_MILLIS = 50L
         const val MAX_BATCH = 1_024
