Give a sign of life on the connection that a burst came in on, so that its window opens

Cause: after all processes start at one moment two peers dial each other and keep both connections; each sends on one and answers on the other. Ruled out: elections (leader 0.8 s after the start), disks (6 ms), the leader's processor. Change: the reader owes a sign of life after half a window without anything sent on that connection, as the acknowledgement rule of the PVAccess channel monitor has it.

--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -67,12 +67,13 @@
                 val socket =
                     try {
                         bound.accept()
-                    } catch (e: CancellationException) {
-                        currentCoroutineContext().ensureActive()
-                        unexpected("accept: $e")
+                    } catch (_: IOException) {
                         delay(REDIAL_MILLIS)
                         continue
-                    } catch (_: IOException) {
+                    } catch (e: RuntimeException) {
+                        // The library cancels, too: only this coroutine's own end ends the accepting.
+                        currentCoroutineContext().ensureActive()
+                        unexpected("accept: $e")
                         delay(REDIAL_MILLIS)
                         continue
                     }
@@ -160,8 +161,8 @@
                 unexpectedInARow = 0
                 listener.up(peer)
                 while (true) {
-                    val frame = withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES) }
-                    link.heard()
+                    val frame = withTimeout(SILENCE_MILLIS) { FrameCodec.read(input, FRAMES, link::received) }
+                    if (link.owesSignOfLife()) link.queue.trySend(NodeFrame.Hello(self))
                     if (frame !is NodeFrame.Hello) listener.received(peer, frame)
                 }
             } finally {
@@ -198,27 +199,40 @@
     }
 
     /**
-     * One connection, with a window of bytes that may be under way since the peer was last heard. Without it a peer
-     * that stands still fills the socket, and the library then retries the write in a tight loop until it goes on.
+     * One connection, with a window of bytes that may be under way since the peer was last heard on it. Without it a
+     * peer that stands still fills the socket, and the library then retries the write in a tight loop until it goes on.
+     *
+     * Two peers can have two connections and answer each other on the other one, so the reader gives a sign of life
+     * on this one whenever half a window has come in and nothing went out.
      */
     private class Link {
         val queue = Channel<NodeFrame>(QUEUE_FRAMES, BufferOverflow.DROP_OLDEST)
         private val opened = Channel<Unit>(Channel.CONFLATED)
-        private var unheard = 0
+        private var unheardBytes = 0
+        private var unansweredBytes = 0
 
-        fun heard() {
-            unheard = 0
+        fun received(bytes: Int) {
+            unansweredBytes += bytes
+            unheardBytes = 0
             opened.trySend(Unit)
         }
 
+        /** Whether so much came in since the last frame went out that the peer may be waiting; true once for it. */
+        fun owesSignOfLife(): Boolean {
+            if (unansweredBytes < WINDOW_BYTES / 2) return false
+            unansweredBytes = 0
+            return true
+        }
+
         fun written(bytes: Int) {
-            unheard += bytes
+            unheardBytes += bytes
+            unansweredBytes = 0
         }
 
         suspend fun awaitWindow(flush: suspend () -> Unit) {
-            if (unheard < WINDOW_BYTES) return
+            if (unheardBytes < WINDOW_BYTES) return
             flush()
-            while (unheard >= WINDOW_BYTES) opened.receive()
+            while (unheardBytes >= WINDOW_BYTES) opened.receive()
         }
     }
 
--- a/wire/src/main/kotlin/rhubarbknot/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/rhubarbknot/wire/FrameCodec.kt
@@ -32,12 +32,16 @@
         return bytes.size
     }
 
+    /** Reads one frame; [onBytes] is told how long it was. */
     suspend fun <T> read(
         input: ByteReadChannel,
         serializer: KSerializer<T>,
+        onBytes: (Int) -> Unit = {},
     ): T {
         val size = input.readInt()
         if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame of $size bytes")
-        return cbor.decodeFromByteArray(serializer, input.readByteArray(size))
+        val bytes = input.readByteArray(size)
+        onBytes(size)
+        return cbor.decodeFromByteArray(serializer, bytes)
     }
 }
