Try a disk that refuses again, in place of losing its replica until the next start

Change: DiskWriter writes the same batch again until the disk takes it; nothing is promised meanwhile. A segment writes over what a failed try left behind, and a failed new segment does not stay in the folder.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
@@ -60,10 +60,6 @@
         val sequence: Long,
     ) : NodeEvent
 
-    data class PersistFailed(
-        val reason: String,
-    ) : NodeEvent
-
     data class WorkerReplied(
         val call: WorkerCall,
         val reply: WorkerReply,
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -25,7 +25,6 @@
 import rhubarbknot.flow.node.NodeIdentity
 import rhubarbknot.flow.node.NodeLogEvent
 import rhubarbknot.quorum.disk.Storage
-import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
@@ -238,24 +237,13 @@
     }
 
     private suspend fun diskLoop() {
-        val batch = ArrayList<NodeEffect.Persist>()
-        while (true) {
-            batch.add(writes.receive())
-            while (batch.size < MAX_BATCH) batch.add(writes.tryReceive().getOrNull() ?: break)
-            val event =
-                try {
-                    storage?.write(batch.map { it.batch })
-                    NodeEvent.Persisted(batch.last().batch.sequence)
-                } catch (e: IOException) {
-                    NodeEvent.PersistFailed(e.message ?: e.javaClass.simpleName)
-                } catch (e: CancellationException) {
-                    throw e
-                } catch (e: Throwable) {
-                    end(EXIT_BROKEN, "the log can't be written: ${e.stackTraceToString()}")
-                    return
-                }
-            events.trySend(event)
-            batch.clear()
+        val writer = DiskWriter(storage) { event, why -> log.write(LogNote(event.name, self.address, why)) }
+        try {
+            writer.run(writes) { events.trySend(NodeEvent.Persisted(it)) }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Throwable) {
+            end(EXIT_BROKEN, "the log can't be written: ${e.stackTraceToString()}")
         }
     }
 
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
@@ -69,12 +69,15 @@
             .toLong()
 
     private fun roll() {
-        number++
-        val file = RecordFile.create(folder.resolve(PREFIX + number.toString().padStart(NUMBER_DIGITS, '0') + SUFFIX))
+        val path = folder.resolve(PREFIX + (number + 1).toString().padStart(NUMBER_DIGITS, '0') + SUFFIX)
+        // A failed attempt may have left it behind.
+        Files.deleteIfExists(path)
+        val file = RecordFile.create(path)
         file.append(listOf(Record.Hard(hard)))
         file.sync()
         FolderSync.sync(folder)
         segments.add(file)
+        number++
     }
 
     override fun write(batches: List<ReplicaEffect.Persist>) {
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/RecordFile.kt
@@ -54,6 +54,9 @@
     var bytes = channel.size()
         private set
 
+    /** Where the next batch belongs: what a failed attempt left behind this is written over. */
+    private var syncedBytes = bytes
+
     /** Highest index of an entry in this file. */
     var lastIndex = 0L
 
@@ -64,11 +67,15 @@
         buffer.putInt(checksum(body))
         buffer.put(body)
         buffer.flip()
+        bytes = syncedBytes
         while (buffer.hasRemaining()) bytes += channel.write(buffer, bytes)
         records.forEach { if (it is Record.Entry) lastIndex = maxOf(lastIndex, it.entry.index) }
     }
 
-    fun sync() = channel.force(false)
+    fun sync() {
+        channel.force(false)
+        syncedBytes = bytes
+    }
 
     override fun close() = channel.close()
 
@@ -152,6 +159,7 @@
         channel.truncate(size)
         channel.force(true)
         bytes = size
+        syncedBytes = size
     }
 
     private fun writeHeader() {
@@ -159,6 +167,7 @@
         header.flip()
         channel.write(header, 0)
         bytes = HEADER_BYTES.toLong()
+        syncedBytes = bytes
     }
 
     companion object {
--- a/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
+++ b/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
@@ -71,6 +71,15 @@
         expectThat(segments().size).isEqualTo(3)
     }
 
+    @Test
+    fun `gives back the same when a batch is written again after a try that went wrong`() {
+        val batch = batch(2, (3L..4L).map { entry(it, "new") }, HardState(2, voter), truncateAfter = 2)
+        stored(batch(1, (1L..5L).map { entry(it) }), batch, batch)
+        val state = recovered()
+        expectThat(state.entries.map { it.payload.decodeToString() }).isEqualTo(listOf("entry 1", "entry 2", "new", "new"))
+        expectThat(state.hardState).isEqualTo(HardState(2, voter))
+    }
+
     @Test
     fun `keeps the vote of a term when only later segments are left`() {
         val snapshot = Snapshot(30, 1, Members(setOf(voter)), "state".toByteArray())
