Count one attempt when several members of a gang fail in one run

Cause: each member's end as failed was counted, so a gang of which two members failed at one moment lost two attempts and could be shown as failed before its budget was used. Change: a run counts once, by its number. Before and after: the new FlowStateSpec case shows FAILED after one run on the old code, and RUNNING now.

--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -210,15 +210,17 @@
         id: TaskId,
         atMillis: Long,
     ) {
-        val gang = job.request.steps[id.step].gang
+        val spec = job.request.steps[id.step]
         val tasks = job.steps[id.step].tasks
-        // The members of a gang share one count of attempts.
-        val failures = if (gang) tasks.maxOf { it.failures } + 1 else tasks[id.index].failures + 1
-        if (gang) tasks.forEach { it.failures = failures } else tasks[id.index].failures = failures
+        val failing = tasks[id.index]
+        val members = if (spec.gang) tasks else listOf(failing)
+        // Several members of a gang may fail in one run, which is one attempt.
+        if (members.any { it.failedRun == failing.run }) return
+        val failures = members.maxOf { it.failures } + 1
+        members.forEach { it.failures = failures }
+        failing.failedRun = failing.run
         val budget = configuration?.queue(job.request.queue)?.maxAttempts ?: Int.MAX_VALUE
-        if (failures >= budget && !job.phase.isFinal && !job.request.steps[id.step].lasting && !tasks[id.index].done) {
-            finish(job, JobPhase.FAILED, atMillis)
-        }
+        if (failures >= budget && !job.phase.isFinal && !spec.lasting && !failing.done) finish(job, JobPhase.FAILED, atMillis)
     }
 
     /** The whole state as bytes, for [restore]. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -23,7 +23,8 @@
  *
  * @property run number of its newest run; 0 before the first.
  * @property worker where the newest run may be; null when it is surely over.
- * @property failures runs that ended as failed.
+ * @property failures runs that ended as failed; the members of a gang share one count.
+ * @property failedRun newest run that was counted as failed.
  */
 @Serializable
 class Task(
@@ -31,6 +32,7 @@
     var worker: WorkerLife? = null,
     var done: Boolean = false,
     var failures: Int = 0,
+    var failedRun: Int = 0,
     var checkpoint: String = "",
 )
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -178,6 +178,18 @@
             expectThat(phase("g")).isEqualTo(JobPhase.COMPLETED)
         }
 
+        @Test
+        fun `has made one attempt when two of its members fail in one run`() {
+            submit("g", step(2, gang = true))
+            assign(run("g", index = 0), run("g", index = 1))
+            ended(run("g", index = 0), RunEnding.FAILED)
+            ended(run("g", index = 1), RunEnding.FAILED)
+            expectThat(phase("g")).isEqualTo(JobPhase.RUNNING)
+            assign(run("g", index = 0, number = 2), run("g", index = 1, number = 2))
+            ended(run("g", index = 0, number = 2), RunEnding.FAILED)
+            expectThat(phase("g")).isEqualTo(JobPhase.FAILED)
+        }
+
         @Test
         fun `counts the failure of one member once for all`() {
             submit("g", step(2, gang = true))
