--- a/cli/src/main/kotlin/rhubarbknot/cli/Main.kt
+++ b/cli/src/main/kotlin/rhubarbknot/cli/Main.kt
@@ -13,6 +13,7 @@
 import rhubarbknot.cli.operate.WorkersCommand
 import rhubarbknot.cli.operate.ZoneCommand
 import rhubarbknot.cli.report.ReportCommand
+import rhubarbknot.cli.trace.TraceCommand
 import kotlin.system.exitProcess
 
 /** Exit codes, by class of failure. */
@@ -47,6 +48,7 @@
             StatusCommand(),
             AuditCommand(),
             ReportCommand(),
+            TraceCommand(),
         )
     parser.subcommands(*commands.toTypedArray())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
--- /dev/null
+++ b/cli/src/main/kotlin/rhubarbknot/cli/trace/JobTrace.kt
@@ -0,0 +1,92 @@
+package rhubarbknot.cli.trace
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.longOrNull
+
+/** One line of a decision log. [at] is Unix milliseconds by the clock of the process that wrote it. */
+data class LogLine(
+    val at: Long,
+    val node: String,
+    val event: String,
+    val id: String,
+    val why: String,
+) {
+    companion object {
+        /** The line in [text], whatever stands before its first brace; null when it is none. */
+        fun parse(text: String): LogLine? {
+            val start = text.indexOf('{')
+            if (start < 0) return null
+            val fields =
+                try {
+                    Json.parseToJsonElement(text.substring(start)) as? JsonObject ?: return null
+                } catch (_: SerializationException) {
+                    return null
+                }
+            val at = (fields["at"] as? JsonPrimitive)?.longOrNull ?: return null
+            return LogLine(at, fields.text("node"), fields.text("event"), fields.text("id"), fields.text("why"))
+        }
+
+        private fun JsonObject.text(name: String): String = (this[name] as? JsonPrimitive)?.content.orEmpty()
+    }
+}
+
+/**
+ * The way of one job through all processes, from their decision logs: what was decided about it, and what happened
+ * meanwhile to leaders, disks and the workers that it ran on.
+ */
+class JobTrace private constructor(
+    val lines: List<LogLine>,
+) {
+    /** One line for each step, with the time since the first. */
+    fun render(): String {
+        val first = lines.firstOrNull()?.at ?: return "no line tells of it"
+        return lines.joinToString("\n") { line ->
+            val seconds = (line.at - first) / MILLIS_PER_SECOND
+            "%+9.3fs  %-20s %-22s %s %s".format(seconds, line.node, line.event, line.id, line.why).trimEnd()
+        }
+    }
+
+    companion object {
+        private const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Events that can explain a wait or a loss of any job. */
+        private val around =
+            setOf(
+                "leading",
+                "leader_changed",
+                "peer_lost",
+                "disk_failed",
+                "disk_regained",
+                "failed",
+                "stopping",
+                "members_proposed",
+                "lines_dropped",
+            )
+
+        /** How long before its first line something may have happened that explains it. */
+        private const val BEFORE_MILLIS = 2_000L
+
+        /** How long after its last line a leader or a worker of it may be found lost. */
+        private const val AFTER_MILLIS = 8_000L
+
+        /** The trace of the job called [id] in [lines], which may come from any number of processes in any order. */
+        fun of(
+            id: String,
+            lines: List<LogLine>,
+        ): JobTrace {
+            val own = lines.filter { id in it.id || id in it.why }
+            if (own.isEmpty()) return JobTrace(emptyList())
+            val workers = own.flatMap { workersIn(it.why) }.toSet()
+            val from = own.minOf { it.at } - BEFORE_MILLIS
+            val to = own.maxOf { it.at } + AFTER_MILLIS
+            val context = lines.filter { it.at in from..to && (it.event in around || (it.event.startsWith("worker_") && it.id in workers)) }
+            return JobTrace((own + context).distinct().sortedBy { it.at })
+        }
+
+        private fun workersIn(why: String): List<String> =
+            Regex("worker=([^ ,]+)|@([^ ,]+)").findAll(why).map { it.groupValues[1].ifEmpty { it.groupValues[2] } }.toList()
+    }
+}
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
@@ -17,18 +17,19 @@
         val question: EligibilityQuestion,
     ) : DispatchEffect
 
-    /** For the decision log. */
+    /** For the decision log; [tookMillis] is what a latency histogram wants to know, if anything. */
     data class Note(
         val event: DispatchEvent,
         val subject: String,
         val detail: String,
+        val tookMillis: Long? = null,
     ) : DispatchEffect
 }
 
 /** Decisions and observations of a [Dispatcher] that an operator may need later. */
 enum class DispatchEvent {
     STEP_WAITS,
-    RUN_ASSIGNED,
+    RUNS_ASSIGNED,
     RUN_STARTED,
     RUN_ENDED,
     RUN_LOST,
@@ -43,6 +44,7 @@
     WORKER_OVER,
     LEASE_WAITED_OUT,
     FENCED_OUT,
+    JOB_OVER,
 }
 
 /** Collects [DispatchEffect]s in the order in which they are to be carried out. */
@@ -68,8 +70,9 @@
         event: DispatchEvent,
         subject: String,
         detail: String = "",
+        tookMillis: Long? = null,
     ) {
-        effects += DispatchEffect.Note(event, subject, detail)
+        effects += DispatchEffect.Note(event, subject, detail, tookMillis)
     }
 
     /** Everything collected since the last call. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -126,9 +126,10 @@
                 "${run.task.index}:${run.number}@${it.worker.life.id}"
             }
         out.note(
-            DispatchEvent.RUN_ASSIGNED,
+            DispatchEvent.RUNS_ASSIGNED,
             step.toString(),
             "waited=${placed.first().waitedMillis}ms tier=${placed.first().tier} runs=$places",
+            placed.first().waitedMillis,
         )
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LogDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LogDesk.kt
@@ -7,6 +7,7 @@
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowOutcome
 import rhubarbknot.flow.state.FlowState
+import rhubarbknot.flow.state.Job
 
 /** Takes in what the log brings: runs that may be started now, ends that count now, cancellations. */
 internal class LogDesk(
@@ -18,6 +19,8 @@
     private val failures: FailedPlaces,
     private val out: Outbox,
 ) {
+    private val told = LinkedHashSet<String>()
+
     /** [command] was applied with [outcome]. */
     fun applied(
         command: FlowCommand,
@@ -60,16 +63,19 @@
         val record = runs.of(end.run)
         if (record != null) {
             runs.untrack(record)
+            val committed = if (record.listedAt > 0) now - record.listedAt else 0
             out.note(
                 DispatchEvent.RUN_ENDED,
                 end.run.task.toString(),
                 "run=${end.run.number} how=${end.ending} worker=${record.worker.life.id} " +
-                    "after=${now - record.proposedAt}ms committed=${if (record.listedAt > 0) now - record.listedAt else 0}ms",
+                    "after=${now - record.proposedAt}ms committed=${committed}ms",
+                committed,
             )
             learn(record, end, now)
         }
         val job = state.job(end.run.task.job) ?: return
         if (job.phase.isFinal) {
+            noteOver(job)
             runs.stopAllOf(job.id)
             failures.forget(job.id)
         } else if (job.request.steps[end.run.task.step].gang && end.ending != RunEnding.DONE) {
@@ -77,6 +83,18 @@
         }
     }
 
+    private fun noteOver(job: Job) {
+        if (!told.add(job.id)) return
+        if (told.size > MOST_TOLD) told.remove(told.first())
+        val took = job.finishedAtMillis - job.acceptedAtMillis
+        out.note(
+            DispatchEvent.JOB_OVER,
+            job.id,
+            "phase=${job.phase} queue=${job.request.queue} team=${job.request.team} took=${took}ms",
+            took,
+        )
+    }
+
     private fun learn(
         record: RunRecord,
         end: RunEnd,
@@ -115,4 +133,9 @@
         worker.seen = maxOf(worker.seen, number)
         worker.renewDueAt = minOf(worker.renewDueAt, now)
     }
+
+    private companion object {
+        /** Jobs remembered as told about; ends of a job that is over come soon after it. */
+        const val MOST_TOLD = 2_000
+    }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ReplyDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ReplyDesk.kt
@@ -100,6 +100,7 @@
             record.run.task.toString(),
             "run=${record.run.number} worker=${record.worker.life.id} " +
                 "committed=${record.committedAt - record.proposedAt}ms after=${now - record.proposedAt}ms",
+            now - record.proposedAt,
         )
         record.worker.renewDueAt = minOf(record.worker.renewDueAt, now)
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -266,14 +266,12 @@
         request: FlowRequest,
         answer: FlowAnswer.Refused,
     ) {
-        val (event, subject) =
-            when (request) {
-                is FlowRequest.Submit -> NodeLogEvent.JOB_REFUSED to request.to.path
-                is FlowRequest.Ask -> NodeLogEvent.REQUEST_REFUSED to request.to.path
-                is FlowRequest.Cancel -> NodeLogEvent.REQUEST_REFUSED to request.to.path
-                else -> NodeLogEvent.REQUEST_REFUSED to ""
-            }
-        note(event, subject, "reason=${answer.reason} configuration=${state.configuration?.version} retryAfter=${answer.retryAfterMillis}")
+        val event = if (request is FlowRequest.Submit) NodeLogEvent.JOB_REFUSED else NodeLogEvent.REQUEST_REFUSED
+        note(
+            event,
+            request.subject,
+            "reason=${answer.reason} configuration=${state.configuration?.version} retryAfter=${answer.retryAfterMillis}",
+        )
     }
 
     private fun answer(
@@ -320,7 +318,9 @@
                             NodeEffect.Send(q.caller, NodeFrame.AskEligibility(q.number, q.step.toString(), q.workers, q.timeoutMillis))
                         }
                 }
-                is DispatchEffect.Note -> effects += NodeEffect.Note(LogNote(effect.event.name, effect.subject, effect.detail))
+                is DispatchEffect.Note ->
+                    effects +=
+                        NodeEffect.Note(LogNote(effect.event.name, effect.subject, effect.detail, effect.tookMillis))
             }
         }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
@@ -18,55 +18,74 @@
 /** What callers, operators and workers ask of the leader. Every request may be repeated. */
 @Serializable
 sealed interface FlowRequest {
+    /** What a log line about it is found by. */
+    val subject: String
+
     @Serializable
     @SerialName("submit")
     data class Submit(
         val to: Address,
         val payload: String,
         val steps: List<StepSpec>,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = to.path
+    }
 
     /** Asks for the state of a job, or of a queue when the address names no job. */
     @Serializable
     @SerialName("ask")
     data class Ask(
         val to: Address,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = to.path
+    }
 
     @Serializable
     @SerialName("cancel")
     data class Cancel(
         val to: Address,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = to.path
+    }
 
     @Serializable
     @SerialName("configure")
     data class Configure(
         val configuration: Configuration,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = configuration.version.toString()
+    }
 
     @Serializable
     @SerialName("readConfiguration")
-    data object ReadConfiguration : FlowRequest
+    data object ReadConfiguration : FlowRequest {
+        override val subject: String get() = "configuration"
+    }
 
     @Serializable
     @SerialName("setZone")
     data class SetZone(
         val zone: String,
         val drained: Boolean,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = zone
+    }
 
     @Serializable
     @SerialName("report")
     data class Report(
         val report: WorkerReport,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = report.life.id
+    }
 
     @Serializable
     @SerialName("leave")
     data class Leave(
         val worker: String,
-    ) : FlowRequest
+    ) : FlowRequest {
+        override val subject: String get() = worker
+    }
 }
 
 /** The one answer to a [FlowRequest]. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
@@ -105,11 +105,24 @@
             effects +=
                 when (step) {
                     is RequestRouter.Step.Forward -> NodeEffect.Send(step.to, NodeFrame.Ask(step.number, step.request))
-                    is RequestRouter.Step.Reply -> NodeEffect.Reply(step.number, step.answer)
+                    is RequestRouter.Step.Reply -> {
+                        noteReply(step)
+                        NodeEffect.Reply(step.number, step.answer)
+                    }
                     is RequestRouter.Step.Handle -> error("a gateway never leads")
                 }
         }
 
+    /** Tells of answers that no control node has told of. */
+    private fun noteReply(step: RequestRouter.Step.Reply) {
+        val answer = step.answer
+        val why = "age=${step.ageMillis}ms leader=$leader term=$leaderTerm"
+        if (answer == FlowAnswer.OutcomeUnknown) note(NodeLogEvent.REQUEST_UNKNOWN, step.request.subject, why)
+        if (answer is FlowAnswer.Refused && answer.reason == Refusal.NO_LEADER) {
+            note(NodeLogEvent.REQUEST_REFUSED, step.request.subject, "reason=NO_LEADER retryAfter=${answer.retryAfterMillis}ms $why")
+        }
+    }
+
     private fun note(
         event: NodeLogEvent,
         subject: String,
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LogNote.kt
@@ -5,11 +5,13 @@
  *
  * @property subject id of the job, task, worker or peer that it is about.
  * @property detail what decided, as `name=value` pairs.
+ * @property tookMillis how long what is told took, for latency histograms; null where nothing is measured.
  */
 data class LogNote(
     val event: String,
     val subject: String,
     val detail: String = "",
+    val tookMillis: Long? = null,
 )
 
 /** Events of a process itself; those of the leader's dealings with workers are in `DispatchEvent`. */
@@ -31,7 +33,6 @@
     JOB_ACCEPTED,
     JOB_REFUSED,
     JOB_CANCELLED,
-    JOB_OVER,
     CONFIGURATION_APPLIED,
     CONFIGURATION_REFUSED,
     ZONE_CHANGED,
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
@@ -32,9 +32,12 @@
             val request: FlowRequest,
         ) : Step
 
+        /** Give [answer] to whoever asked [request]; [ageMillis] is how long it was here. */
         data class Reply(
             val number: Long,
             val answer: FlowAnswer,
+            val request: FlowRequest,
+            val ageMillis: Long,
         ) : Step
     }
 
@@ -77,7 +80,7 @@
             return expire(now)
         }
         open.remove(number)
-        return listOf(Step.Reply(number, answer))
+        return listOf(Step.Reply(number, answer, entry.request, now - entry.askedAt))
     }
 
     /** Time has passed. */
@@ -118,7 +121,7 @@
                 }
             if (answer != null) {
                 entries.remove()
-                out += Step.Reply(number, answer)
+                out += Step.Reply(number, answer, entry.request, age)
             }
         }
         return out
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/DiskWriter.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/DiskWriter.kt
@@ -12,10 +12,12 @@
  * again and nothing is promised: the group goes on without this replica's word, and has it again when the disk does.
  *
  * @param storage null for a process without a disk, which has nothing to store.
+ * @param took told how many nanoseconds each successful write and sync took.
  * @param note told when the disk is lost and when it is back.
  */
 internal class DiskWriter(
     private val storage: Storage?,
+    private val took: (Long) -> Unit = {},
     private val note: (NodeLogEvent, String) -> Unit,
 ) {
     /** Writes what [batches] brings, and tells [synced] the sequence up to which all is synced. Never returns. */
@@ -38,7 +40,9 @@
         var failures = 0
         while (true) {
             try {
+                val startedAt = System.nanoTime()
                 storage?.write(records)
+                took(System.nanoTime() - startedAt)
                 if (failures > 0) note(NodeLogEvent.DISK_REGAINED, "tries=${failures + 1}")
                 return
             } catch (e: IOException) {
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
@@ -18,12 +18,14 @@
 /**
  * An answer to an [HttpRequest], or what a server answered.
  *
+ * @property contentType type of the body.
  * @property closes whether the connection is to be closed after it, so that the client comes back on another one.
  */
 class HttpReply(
     val status: Int,
     val body: ByteArray = NOTHING,
     val headers: List<Pair<String, String>> = emptyList(),
+    val contentType: String = "application/json",
     val closes: Boolean = false,
 ) {
     companion object {
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
@@ -197,7 +197,7 @@
         val head = RequestResponseBuilder()
         head.responseLine("HTTP/1.1", reply.status, HttpStatusCode.fromValue(reply.status).description)
         head.headerLine("Content-Length", reply.body.size.toString())
-        if (reply.body.isNotEmpty()) head.headerLine("Content-Type", "application/json")
+        if (reply.body.isNotEmpty()) head.headerLine("Content-Type", reply.contentType)
         reply.headers.forEach { (name, value) -> head.headerLine(name, value) }
         if (!keep) head.headerLine("Connection", "close")
         head.emptyLine()
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -84,7 +84,7 @@
     private val workerClient = workers(caller)
     private val eligibilityClient = eligibility(caller)
     private val links =
-        PeerLinks(self, trafficScope, selector, this) { log.write(LogNote(NodeLogEvent.CALL_FAILED.name, self.address, it)) }
+        PeerLinks(self, trafficScope, selector, this) { note(LogNote(NodeLogEvent.CALL_FAILED.name, self.address, it)) }
     private val clock = SteadyClock()
     private val events = Channel<NodeEvent>(Channel.UNLIMITED)
     private val writes = Channel<NodeEffect.Persist>(Channel.UNLIMITED)
@@ -92,6 +92,9 @@
     private val numbers = AtomicLong()
     private val drained = CompletableDeferred<Unit>()
 
+    /** Counters and histograms of this process. */
+    val metrics = NodeMetrics { log.droppedLines }
+
     /** What the node said of itself last. */
     @Volatile
     var health = NodeHealth(false, null, 0, 0, null)
@@ -120,7 +123,18 @@
                 delay(TICK_MILLIS)
             }
         }
-        log.write(LogNote(NodeLogEvent.STARTED.name, self.address, "zone=${self.zone} replica=${self.replica}"))
+        note(LogNote(NodeLogEvent.STARTED.name, self.address, "zone=${self.zone} replica=${self.replica}"))
+    }
+
+    /** Writes [note] to the decision log and counts it. */
+    fun note(note: LogNote) {
+        metrics.noted(note)
+        log.write(note)
+    }
+
+    private fun observe(now: NodeHealth) {
+        health = now
+        metrics.observed(now)
     }
 
     /** Asks the system and waits for the one answer. */
@@ -128,9 +142,10 @@
         val number = numbers.incrementAndGet()
         val answer = CompletableDeferred<FlowAnswer>()
         answers[number] = answer
+        val askedAt = System.nanoTime()
         events.trySend(NodeEvent.Asked(number, request))
         return try {
-            answer.await()
+            answer.await().also { metrics.answered(request, it, System.nanoTime() - askedAt) }
         } finally {
             answers.remove(number)
         }
@@ -138,7 +153,7 @@
 
     /** Hands over and returns when nothing is under way any more. */
     suspend fun shutDown() {
-        log.write(LogNote(NodeLogEvent.STOPPING.name, self.address))
+        note(LogNote(NodeLogEvent.STOPPING.name, self.address))
         events.trySend(NodeEvent.Shutdown)
         drained.await()
     }
@@ -170,7 +185,7 @@
             try {
                 val now = clock.millis()
                 val effects = node.handle(batch, now)
-                if (NodeEvent.Tick in batch) health = node.health(now)
+                if (NodeEvent.Tick in batch) observe(node.health(now))
                 carryOut(effects)
             } catch (e: CancellationException) {
                 throw e
@@ -188,7 +203,7 @@
             when (effect) {
                 is NodeEffect.Persist -> writes.trySend(effect)
                 is NodeEffect.Reply -> answers[effect.number]?.complete(effect.answer)
-                is NodeEffect.Note -> log.write(effect.note)
+                is NodeEffect.Note -> note(effect.note)
                 NodeEffect.Drained -> drained.complete(Unit)
                 is NodeEffect.Send, is NodeEffect.Connect, is NodeEffect.CallWorker, is NodeEffect.AskEligibility -> outward += effect
             }
@@ -216,7 +231,7 @@
                 currentCoroutineContext().ensureActive()
                 null
             } catch (e: RuntimeException) {
-                log.write(LogNote(NodeLogEvent.CALL_FAILED.name, effect.call.worker.id, e.toString()))
+                note(LogNote(NodeLogEvent.CALL_FAILED.name, effect.call.worker.id, e.toString()))
                 null
             } ?: WorkerReply.NoResponse
         events.trySend(NodeEvent.WorkerReplied(effect.call, reply, sentAt))
@@ -230,14 +245,14 @@
                 currentCoroutineContext().ensureActive()
                 null
             } catch (e: RuntimeException) {
-                log.write(LogNote(NodeLogEvent.CALL_FAILED.name, effect.step, e.toString()))
+                note(LogNote(NodeLogEvent.CALL_FAILED.name, effect.step, e.toString()))
                 null
             }
         events.trySend(NodeEvent.EligibilityReplied(effect.askedBy, EligibilityReply(effect.number, tickets)))
     }
 
     private suspend fun diskLoop() {
-        val writer = DiskWriter(storage) { event, why -> log.write(LogNote(event.name, self.address, why)) }
+        val writer = DiskWriter(storage, metrics::synced) { event, why -> note(LogNote(event.name, self.address, why)) }
         try {
             writer.run(writes) { events.trySend(NodeEvent.Persisted(it)) }
         } catch (e: CancellationException) {
