--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -72,14 +72,11 @@
             durable,
             now,
         )
-    private val peers = LinkedHashMap<String, NodeIdentity>()
-    private val statuses = HashMap<String, Heard>()
+    private val peers = ControlPeers(self, config.seeds)
     private val directory = LinkedHashMap<String, Known>()
-    private val pending = HashMap<Long, Pending>()
-    private val proposals = ArrayList<Proposal>()
+    private val proposals = ProposalDesk()
     private val effects = ArrayList<NodeEffect>()
     private var dispatcher: Dispatcher? = null
-    private var connected = emptySet<String>()
     private var statusDueAt = 0L
     private var membersDueAt = 0L
     private var announcedServing = false
@@ -131,13 +128,12 @@
         when (event) {
             NodeEvent.Tick -> tick(now)
             is NodeEvent.LinkUp -> {
-                peers[event.peer.address] = event.peer
+                peers.up(event.peer)
                 note(NodeLogEvent.PEER_CONNECTED, event.peer.address, "zone=${event.peer.zone} replica=${event.peer.replica}")
                 effects += NodeEffect.Send(event.peer.address, status(now))
             }
             is NodeEvent.LinkDown -> {
-                peers.remove(event.address)?.let { drive(ReplicaEvent.Disconnected(ReplicaId(it.replica)), now) }
-                statuses.remove(event.address)
+                peers.down(event.address)?.let { drive(ReplicaEvent.Disconnected(ReplicaId(it.replica)), now) }
                 note(NodeLogEvent.PEER_LOST, event.address)
                 followLeader(now)
             }
@@ -160,7 +156,7 @@
     private fun tick(now: Long) {
         drive(ReplicaEvent.Tick, now)
         directory.values.removeIf { now - it.at > DIRECTORY_MILLIS }
-        statuses.values.removeIf { now - it.at > FORGET_MILLIS }
+        peers.forgetSilent(now)
         followLeader(now)
         if (now >= statusDueAt) announce(now)
         if (now >= membersDueAt) {
@@ -190,7 +186,7 @@
         when (frame) {
             is NodeFrame.Replica -> if (frame.to == self.replica) drive(ReplicaEvent.Received(ReplicaId(frame.from), frame.message), now)
             is NodeFrame.Status -> {
-                statuses[from.address] = Heard(frame, now)
+                peers.heard(from.address, frame, now)
                 followLeader(now)
             }
             is NodeFrame.Ask -> judge(Caller(from.address, frame.number), frame.request, now)
@@ -212,7 +208,7 @@
         val request = event.request
         if (request is FlowRequest.Report) {
             known(request.report, now)
-            controls().forEach { effects += NodeEffect.Send(it, NodeFrame.Reported(request.report)) }
+            peers.controls().forEach { effects += NodeEffect.Send(it, NodeFrame.Reported(request.report)) }
             if (!request.report.draining) {
                 effects += NodeEffect.Reply(event.number, FlowAnswer.Done)
                 return
@@ -258,7 +254,7 @@
                 if (verdict.answer is FlowAnswer.Refused) noteRefusal(request, verdict.answer)
                 answer(caller, verdict.answer, now)
             }
-            is Verdict.Commit -> proposals += Proposal(verdict.command, caller)
+            is Verdict.Commit -> proposals.add(Proposal(verdict.command, caller))
         }
     }
 
@@ -297,7 +293,7 @@
         }
         val leading = dispatcher ?: return
         if (serving(now)) {
-            leading.setEligibilityCallers(peers.keys + self.address)
+            leading.setEligibilityCallers(peers.addresses + self.address)
             leading.pump(now)
         }
         collect(leading)
@@ -307,7 +303,7 @@
     private fun collect(leading: Dispatcher) =
         leading.drain().forEach { effect ->
             when (effect) {
-                is DispatchEffect.Propose -> proposals += Proposal(effect.command, null)
+                is DispatchEffect.Propose -> proposals.add(Proposal(effect.command, null))
                 is DispatchEffect.Call -> effects += NodeEffect.CallWorker(effect.call, effect.timeoutMillis)
                 is DispatchEffect.AskEligibility -> {
                     val q = effect.question
@@ -325,21 +321,17 @@
         }
 
     private fun propose(now: Long) {
-        if (proposals.isEmpty()) return
-        val batch = ArrayList(proposals)
-        proposals.clear()
-        if (!replica.isLeader) {
-            batch.forEach { proposal -> proposal.caller?.let { answer(it, FlowAnswer.Refused(Refusal.NO_LEADER), now) } }
-            return
-        }
+        val batch = proposals.takeAll()
+        if (batch.isEmpty()) return
         val first = replica.lastIndex + 1
-        batch.forEachIndexed { i, proposal -> pending[first + i] = Pending(replica.term, proposal) }
-        drive(ReplicaEvent.Propose(batch.map { Codec.encode(COMMANDS, it.command) }), now)
-        if (replica.lastIndex < first) {
+        if (replica.isLeader) {
+            proposals.proposed(first, batch)
+            drive(ReplicaEvent.Propose(batch.map { Codec.encode(COMMANDS, it.command) }), now)
+            if (replica.lastIndex >= first) return
             // A leader that hands over takes no more proposals.
-            batch.indices.forEach { pending.remove(first + it) }
-            batch.forEach { proposal -> proposal.caller?.let { answer(it, FlowAnswer.Refused(Refusal.NO_LEADER), now) } }
+            proposals.withdrawn(first, batch.size)
         }
+        batch.forEach { proposal -> proposal.caller?.let { answer(it, FlowAnswer.Refused(Refusal.NO_LEADER), now) } }
     }
 
     private fun drive(
@@ -375,12 +367,7 @@
         val command = Codec.decode(COMMANDS, entry.payload)
         val outcome = state.apply(command)
         dispatcher?.applied(command, outcome, now)
-        val waiting = pending.remove(entry.index) ?: return
-        val caller = waiting.proposal.caller ?: return
-        if (waiting.term != entry.term) {
-            answer(caller, FlowAnswer.OutcomeUnknown, now)
-            return
-        }
+        val caller = proposals.committed(entry.index) ?: return
         noteApplied(command)
         answer(caller, if (outcome == FlowOutcome.NoSuchJob) FlowAnswer.Refused(Refusal.UNKNOWN_JOB) else FlowAnswer.Done, now)
     }
@@ -406,63 +393,45 @@
     ) {
         if (role == Role.LEADER) return
         dispatcher = null
-        val lost = ArrayList(pending.values)
-        pending.clear()
-        lost.forEach { waiting -> waiting.proposal.caller?.let { answer(it, FlowAnswer.OutcomeUnknown, now) } }
+        proposals.abandoned().forEach { answer(it, FlowAnswer.OutcomeUnknown, now) }
         if (announcedServing) announce(now)
     }
 
     // Peers
 
-    private fun controls(): List<String> = peers.values.filter { it.replica.isNotEmpty() }.map { it.address }
-
-    private fun status(now: Long): NodeFrame.Status {
-        val known = replica.members.all.map { MembershipKeeper.machineOf(it) } + controls() + self.address
-        return NodeFrame.Status(
-            known.toSortedSet().toList(),
+    private fun status(now: Long) =
+        NodeFrame.Status(
+            peers.knownControls(replica.members),
             leaderAddress(now),
             replica.term,
             serving(now) && drainingSince == 0L,
             state.configuration?.limits,
         )
-    }
 
     private fun announce(now: Long) {
         statusDueAt = now + STATUS_PERIOD_MILLIS
         announcedServing = serving(now)
         val frame = status(now)
-        peers.keys.forEach { effects += NodeEffect.Send(it, frame) }
+        peers.addresses.forEach { effects += NodeEffect.Send(it, frame) }
     }
 
-    private fun leaderAddress(now: Long): String? {
-        if (serving(now)) return self.address
-        return statuses.entries
-            .filter { it.value.status.serving && now - it.value.at < SILENT_MILLIS }
-            .maxByOrNull { it.value.status.term }
-            ?.key
-    }
+    private fun leaderAddress(now: Long): String? = if (serving(now)) self.address else peers.leader(now)
 
     private fun followLeader(now: Long) = carryOut(router.leaderIs(leaderAddress(now), now), now)
 
     private fun keepMembers(now: Long) {
         if (!replica.isLeader || !replica.holdsLease(now)) return
-        val replicas = peers.values.filter { it.replica.isNotEmpty() }.map { ConnectedReplica(ReplicaId(it.replica), it.zone) }
-        val next = keeper.next(replica.members, replicas, replica::caughtUp, now) ?: return
+        val next = keeper.next(replica.members, peers.replicas(), replica::caughtUp, now) ?: return
         note(NodeLogEvent.MEMBERS_PROPOSED, self.address, "voters=${next.voters.sorted()} learners=${next.learners.sorted()}")
         drive(ReplicaEvent.ProposeMembers(next), now)
     }
 
     private fun connect() {
-        val wanted =
-            config.seeds + replica.members.all.map { MembershipKeeper.machineOf(it) } + statuses.values.flatMap { it.status.controls } -
-                self.address
-        if (wanted == connected) return
-        connected = wanted
-        effects += NodeEffect.Connect(wanted)
+        peers.newTargets(replica.members)?.let { effects += NodeEffect.Connect(it) }
     }
 
     private fun finish(now: Long) {
-        val handedOver = !replica.isLeader && pending.isEmpty() && router.openCount == 0
+        val handedOver = !replica.isLeader && proposals.isIdle && router.openCount == 0
         if (handedOver || now - drainingSince > SHUTDOWN_MILLIS) effects += NodeEffect.Drained
     }
 
@@ -474,26 +443,6 @@
         effects += NodeEffect.Note(LogNote(event.name, subject, detail))
     }
 
-    private data class Caller(
-        val address: String,
-        val number: Long,
-    )
-
-    private class Proposal(
-        val command: FlowCommand,
-        val caller: Caller?,
-    )
-
-    private class Pending(
-        val term: Long,
-        val proposal: Proposal,
-    )
-
-    private class Heard(
-        val status: NodeFrame.Status,
-        val at: Long,
-    )
-
     private class Known(
         val report: WorkerReport,
         val at: Long,
@@ -509,8 +458,6 @@
         const val STATUS_PERIOD_MILLIS = 400L
         const val MEMBERS_PERIOD_MILLIS = 200L
         const val DIRECTORY_MILLIS = 20_000L
-        const val SILENT_MILLIS = 1_600L
-        const val FORGET_MILLIS = 10_000L
         const val SHUTDOWN_MILLIS = 2_000L
     }
 }
