--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -102,7 +102,7 @@
             // One link is enough: the side that was dialled first uses it, too.
             if (links[address].isNullOrEmpty()) {
                 try {
-                    val socket = withTimeout(SILENCE_MILLIS) { aSocket(selector).tcp().connect(host, port) { noDelay = true } }
+                    val socket = withTimeout(DIAL_MILLIS) { aSocket(selector).tcp().connect(host, port) { noDelay = true } }
                     guarded(socket)
                 } catch (e: CancellationException) {
                     // The library cancels, too: only this coroutine's own end ends the dialling.
@@ -239,6 +239,9 @@
     private companion object {
         val FRAMES = NodeFrame.serializer()
         const val SILENCE_MILLIS = 1_500L
+
+        /** Well above a way there and back, and below the second after which a lost opening packet is sent again. */
+        const val DIAL_MILLIS = 400L
         const val GREETING_MILLIS = 500L
         const val REDIAL_MILLIS = 150L
         const val QUEUE_FRAMES = 4_096
