--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -27,7 +27,7 @@
     private val eligibility = EligibilityDesk()
     private val runs = RunBook(state, use, out)
     private val workers = WorkerBook(settings, startedAt, runs, out)
-    private val orders = OrderDesk(state, settings, term, runs, workers, LeaseKeeper(settings, startedAt), out)
+    private val orders = OrderDesk(state, settings, term, runs, workers, LeaseKeeper(settings), out)
     private val replies = ReplyDesk(state, settings, term, runs, workers, eligibility, ProgressWatch(settings, times, runs, out), out)
     private val log = LogDesk(state, settings, runs, workers, times, failures, out)
     private val queue = WorkQueue(state, times)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseKeeper.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseKeeper.kt
@@ -3,7 +3,6 @@
 /** Leases that this leader and earlier ones granted to workers, on the workers' own clocks. */
 internal class LeaseKeeper(
     private val settings: DispatchSettings,
-    private val startedAt: Long,
 ) {
     /** Longest that a lease granted now can last by this host's clock. */
     private val longestMillis = settings.leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + MARGIN_MILLIS
@@ -25,8 +24,8 @@
         worker: WorkerRecord,
         now: Long,
     ): Boolean {
-        // Earlier leaders granted at most one lease beyond the moment when this one took over.
-        val inheritedOver = now - startedAt > longestMillis
+        // Whoever granted it before the worker was known here, the last lease began no later than then.
+        val inheritedOver = now - worker.knownSince > longestMillis
         if (!worker.fenced) return inheritedOver
         if (worker.unanswered == 0 || !inheritedOver) return false
         return worker.clockAtLeast(now, settings.slowClockPerMille) > worker.grantedUntil + MARGIN_MILLIS
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LogDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LogDesk.kt
@@ -78,8 +78,8 @@
             noteOver(job)
             runs.stopAllOf(job.id)
             failures.forget(job.id)
-        } else if (job.request.steps[end.run.task.step].gang && end.ending != RunEnding.DONE) {
-            runs.stopGangOf(end.run)
+        } else if (job.request.steps[end.run.task.step].gang) {
+            runs.stopGangOf(end.run, onlyUnstarted = end.ending == RunEnding.DONE)
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/OrderDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/OrderDesk.kt
@@ -46,7 +46,7 @@
                     out.note(DispatchEvent.RUN_STOP_WANTED, run.run.task.toString(), "run=${run.run.number} worker=${worker.life.id}")
                     out.call(WorkerCall.Stop(worker.life, address, term, run.run), settings.callTimeoutMillis)
                 }
-                run.stage == RunStage.STARTING -> start(run, worker, address, now)
+                run.stage == RunStage.STARTING && !run.stopWanted -> start(run, worker, address, now)
             }
         }
     }
@@ -88,12 +88,27 @@
         worker.renewInFlight = true
         val wait = if (worker.fenced && worker.unanswered == 0 && hasOrders) settings.renewWaitMillis else 0
         val deadline = if (hasOrders) leases.grant(worker, now) else null
-        out.call(WorkerCall.Renew(worker.life, address, term, worker.seen, deadline, wait), settings.callTimeoutMillis + wait)
+        val lastSeen = if (isSurelySameLife(worker, now)) worker.seen else 0
+        out.call(WorkerCall.Renew(worker.life, address, term, lastSeen, deadline, wait), settings.callTimeoutMillis + wait)
     }
 
+    /**
+     * Whether [worker] has listed its runs just now. A later life under the same id counts its ends anew, so an
+     * acknowledgement that is meant for the earlier one would make it forget ends that nobody has seen.
+     */
+    private fun isSurelySameLife(
+        worker: WorkerRecord,
+        now: Long,
+    ): Boolean = worker.unanswered == 0 && now - worker.listedAt <= SHORTEST_RESTART_MILLIS
+
     /** Whether an idle [worker], which gets no work after a lost call, still reports and so may answer again. */
     private fun mayHaveReturned(
         worker: WorkerRecord,
         now: Long,
     ): Boolean = worker.unanswered > 0 && now - worker.reportedAt <= settings.reportTimeoutMillis
+
+    private companion object {
+        /** A worker takes longer than this to end and start anew. */
+        const val SHORTEST_RESTART_MILLIS = 500L
+    }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -48,7 +48,7 @@
                 }
                 is Placing.Waits -> {
                     noteReason(step, placing.reason, now)
-                    if (step.spec.gang && step.tier <= Tier.LATE) keepRoom(step, placing.reason, configuration, free)
+                    if (step.spec.gang) keepRoom(step, placing.reason, configuration, free)
                 }
             }
         }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ReplyDesk.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ReplyDesk.kt
@@ -71,6 +71,8 @@
     ) {
         val record = runs.of(call.run) ?: return
         record.callInFlight = false
+        // Once the worker has listed the run, what it said to an earlier or a repeated start tells nothing new.
+        if (record.stage != RunStage.STARTING) return
         when (reply) {
             is WorkerReply.Done -> started(record, now)
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
@@ -155,9 +157,10 @@
         }
         worker.renewDueAt = now
         if (reply.born != null && reply.born != worker.life.born) {
-            if (reply.born > worker.life.born) workers.over(worker, now, "born anew")
+            if (reply.born > worker.life.born) workers.bornAnew(worker, worker.life.copy(born = reply.born), now)
             return
         }
+        worker.listedAt = now
         if (!worker.fenced) {
             workers.fenced(worker)
             val lists = "running=${reply.running.size} ended=${reply.ended.size}"
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunBook.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunBook.kt
@@ -62,13 +62,29 @@
         byJob[job]?.forEach { it.stopWanted = true }
     }
 
-    /** Stops the other members of the gang that [ended] belonged to. */
-    fun stopGangOf(ended: RunId) {
+    /** Stops the other members of the gang that [ended] belonged to; [onlyUnstarted] when the gang is done, which the rest will say. */
+    fun stopGangOf(
+        ended: RunId,
+        onlyUnstarted: Boolean,
+    ) {
         byJob[ended.task.job]
             ?.filter { it.run.task.step == ended.task.step && it.run.number == ended.number }
+            ?.filter { !onlyUnstarted || it.stage == RunStage.STARTING }
             ?.forEach { it.stopWanted = true }
     }
 
+    /** Looks for the runs of [earlier] on [later], the next life of the same worker. */
+    fun moveTo(
+        later: WorkerRecord,
+        earlier: WorkerRecord,
+    ) {
+        earlier.runs.values.toList().forEach { run ->
+            earlier.remove(run)
+            run.moveTo(later)
+            later.add(run)
+        }
+    }
+
     /** Ends every run on [worker], which surely runs nothing any more. */
     fun giveUpOn(
         worker: WorkerRecord,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -25,11 +25,14 @@
     val team: String,
     val queue: String,
     val spec: StepSpec,
-    val worker: WorkerRecord,
+    worker: WorkerRecord,
     var stage: RunStage,
     val ticket: Ticket?,
     val proposedAt: Long,
 ) {
+    /** Where it may run. */
+    var worker = worker
+        private set
     val demand: Resources get() = spec.demand
     var stopWanted = false
     val stopAcknowledged: Boolean get() = stoppedAt != Long.MAX_VALUE
@@ -54,6 +57,21 @@
     /** Its end was proposed to the log. */
     var ending = false
 
+    /**
+     * The worker has started anew as [next] under the same id, and may have this run from a start that was meant for its
+     * earlier life. If such a start may still be on its way, only a stop makes sure that it comes to nothing.
+     */
+    fun moveTo(next: WorkerRecord) {
+        worker = next
+        if (stage == RunStage.PROPOSED || stage == RunStage.STARTING) {
+            uncertain = uncertain || callInFlight
+            stopWanted = true
+        } else {
+            stage = RunStage.INHERITED
+        }
+        callInFlight = false
+    }
+
     /** The worker listed its end. */
     fun listed(now: Long) {
         ending = true
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerBook.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerBook.kt
@@ -22,11 +22,30 @@
 
     operator fun get(life: WorkerLife): WorkerRecord? = byLife[life]
 
-    fun getOrAdd(life: WorkerLife): WorkerRecord =
+    /** The record of [life], which is known since [now] if it is new. */
+    fun getOrAdd(
+        life: WorkerLife,
+        now: Long = startedAt,
+    ): WorkerRecord =
         byLife.getOrPut(life) {
-            WorkerRecord(life, startedAt).also { byId.getOrPut(life.id) { LinkedHashSet() }.add(it) }
+            WorkerRecord(life, now).also { byId.getOrPut(life.id) { LinkedHashSet() }.add(it) }
         }
 
+    /**
+     * [earlier] is over, since [life] has the same id and was born later. A start that was meant for the earlier life may
+     * have come to the later one, which only its lists can tell: so the runs are looked for there.
+     */
+    fun bornAnew(
+        earlier: WorkerRecord,
+        life: WorkerLife,
+        now: Long,
+    ) {
+        if (earlier.over) return
+        earlier.over = true
+        out.note(DispatchEvent.WORKER_OVER, earlier.life.id, "born anew runs=${earlier.runs.size}")
+        runs.moveTo(getOrAdd(life, now), earlier)
+    }
+
     /** A worker said something of itself; [report] may be old. */
     fun reported(
         report: WorkerReport,
@@ -34,12 +53,13 @@
     ) {
         val lives = byId[report.life.id].orEmpty()
         if (lives.any { it.life.born > report.life.born }) return
-        lives.filter { it.life.born < report.life.born }.forEach { over(it, now, "born anew") }
+        val earlier = lives.filter { it.life.born < report.life.born && !it.over }
         byAddress[report.address]
             .orEmpty()
             .filter { it.life.id != report.life.id && it.life.born < report.life.born }
             .forEach { over(it, now, "address taken over by ${report.life.id}") }
-        val record = getOrAdd(report.life)
+        val record = getOrAdd(report.life, now)
+        earlier.forEach { bornAnew(it, report.life, now) }
         val known = record.report
         if (known != null && !report.isNewerThan(known)) return
         if (known == null || known.draining != report.draining) changes++
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -8,8 +8,10 @@
 /** What the leader knows of one life of a worker. */
 internal class WorkerRecord(
     val life: WorkerLife,
-    var reportedAt: Long,
+    val knownSince: Long,
 ) {
+    var reportedAt = knownSince
+
     /** Its newest word of itself; null while only its runs are known. */
     var report: WorkerReport? = null
     val runs = LinkedHashMap<TaskId, RunRecord>()
@@ -31,6 +33,9 @@
 
     /** Ends up to here are acknowledged to the worker. */
     var acknowledged = 0L
+
+    /** When this life of it listed its runs last. */
+    var listedAt = Long.MIN_VALUE / 2
     var renewInFlight = false
     var renewDueAt = 0L
 
