--- /dev/null
+++ b/flow/src/test/kotlin/rhubarbknot/flow/load/LoadReport.kt
@@ -0,0 +1,94 @@
+package rhubarbknot.flow.load
+
+import rhubarbknot.flow.model.RunId
+
+/** A submitted job of a replay and what became of it. */
+internal class ReplayJob(
+    val kind: JobKind,
+    val steps: List<DrawnStep>,
+    val submittedAt: Long,
+    val isHopeless: Boolean,
+) {
+    private val gangs = HashMap<Pair<Int, Int>, ReplayGang>()
+    var finishedAt = 0L
+        private set
+    private var completed = false
+    var wastedCoreMillis = 0L
+
+    fun gang(run: RunId): ReplayGang = gangs.getOrPut(run.task.step to run.number) { ReplayGang() }
+
+    fun finish(
+        completed: Boolean,
+        now: Long,
+    ) {
+        this.completed = completed
+        finishedAt = now
+    }
+
+    private val work: Double get() = steps.sumOf { it.spec.count.toDouble() * it.spec.demand.milliCpus * it.millis } / 1_000
+
+    /** Value of the job if it finishes within its objective. */
+    val owed: Double get() = kind.value * (BASE + (1 - BASE) * work / kind.meanWork).coerceAtMost(MAX_VALUE)
+
+    private val objectiveMillis: Double get() {
+        val adviceMillis = kind.eligibility.decideMillis + kind.eligibility.perWorkerMillis * ADVICE_WORKERS
+        return kind.slackFactor * steps.sumOf { it.millis + adviceMillis } + kind.targetMillis
+    }
+
+    /** Value by the time at which the job was finished. */
+    val earned: Double get() {
+        val took = finishedAt - submittedAt
+        return when {
+            finishedAt == 0L || completed == isHopeless -> 0.0
+            took <= objectiveMillis -> owed
+            took <= LATE_FACTOR * objectiveMillis -> owed * LATE_SHARE
+            else -> 0.0
+        }
+    }
+
+    private companion object {
+        const val BASE = 0.3
+        const val MAX_VALUE = 4.0
+        const val ADVICE_WORKERS = 30
+        const val LATE_FACTOR = 3
+        const val LATE_SHARE = 0.2
+    }
+}
+
+/** Value earned over value owed, as a whole and by kind, and what it cost. */
+internal data class LoadReport(
+    val worth: Double,
+    val worthByKind: Map<String, Double>,
+    val worstWindow: Double,
+    val jobs: Int,
+    val unfinished: Int,
+    val wastedCoreSeconds: Long,
+    val eligibilitySeconds: Double,
+    val eligibilityRequests: Int,
+    val microsPerDispatch: Long,
+) {
+    companion object {
+        private const val WINDOW_MILLIS = 2_000
+
+        fun of(
+            jobs: Collection<ReplayJob>,
+            kinds: List<JobKind>,
+            eligibilityMillis: Double,
+            eligibilityRequests: Int,
+            nanosPerDispatch: Long,
+        ): LoadReport =
+            LoadReport(
+                worth(jobs),
+                kinds.associate { kind -> kind.name to worth(jobs.filter { it.kind === kind }) },
+                jobs.groupBy { it.submittedAt / WINDOW_MILLIS }.values.minOf { worth(it) },
+                jobs.size,
+                jobs.count { it.finishedAt == 0L },
+                jobs.sumOf { it.wastedCoreMillis } / 1_000,
+                eligibilityMillis / 1_000,
+                eligibilityRequests,
+                nanosPerDispatch / 1_000,
+            )
+
+        private fun worth(jobs: Collection<ReplayJob>): Double = jobs.sumOf { it.earned } / jobs.sumOf { it.owed }
+    }
+}
