Check only the workers that something happened to for due calls, and plan only when a task waits

Cause: after each batch of events the leader walked all 260 workers, all live jobs with their tasks and all cached tickets, and built a capacity map, even when nothing waited; this grows with the size of the cell and not with what changed. Change: workers are marked by the events that concern them, all others are swept every 20 ms; a step whose tasks all have runs is skipped by a count; capacity is indexed only if a task waits; a committed assignment alone asks for no plan.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -51,6 +51,7 @@
                 return@forEach
             }
             record.stage = RunStage.STARTING
+            workers.touch(record.worker)
             record.committedAt = now
             if (record.worker.terminated) runs.markRunsLost(record.worker, now)
         }
@@ -63,6 +64,7 @@
         val record = runs.of(end.run)
         if (record != null) {
             runs.untrack(record)
+            workers.touch(record.worker)
             val commitMillis = if (record.endListedAt > 0) now - record.endListedAt else 0
             effects.logEvent(
                 DispatchEvent.RUN_ENDED,
@@ -132,6 +134,7 @@
         val worker = workers[incarnation] ?: return
         worker.lastCommittedEnd = maxOf(worker.lastCommittedEnd, number)
         worker.renewDueAt = minOf(worker.renewDueAt, now)
+        workers.touch(worker)
     }
 
     private companion object {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -35,6 +35,7 @@
     private val queue = WorkQueue(state, durations)
     private val planner = Planner(queue, StepPlacer(eligibility, usage, failures), runs, usage, effects)
     private var planDueAt = 0L
+    private var sweepDueAt = 0L
     private var planRequested = true
     private var lastPlannedChanges = -1L
 
@@ -74,7 +75,8 @@
         outcome: FlowOutcome,
         now: Long,
     ) {
-        planRequested = true
+        // An accepted assignment only uses room; a rejected one counts as a removal.
+        if (command !is FlowCommand.Assign) planRequested = true
         if (command is FlowCommand.Submit) queue.submitted(command.request.id, command.request.team, now)
         appliedCommands.handle(command, outcome, now)
     }
@@ -97,8 +99,14 @@
 
     /** Sends all due calls and plans new runs. Must be called only while no other leader can act. */
     fun dispatchDue(now: Long) {
-        workers.all.toList().forEach { callScheduler.sendDueCalls(it, now) }
-        workers.removeIdle(now)
+        if (now >= sweepDueAt) {
+            sweepDueAt = now + SWEEP_PERIOD_MILLIS
+            workers.takeTouched()
+            workers.all.toList().forEach { callScheduler.sendDueCalls(it, now) }
+            workers.removeIdle(now)
+        } else {
+            workers.takeTouched().forEach { callScheduler.sendDueCalls(it, now) }
+        }
         val changes = workers.changes + runs.removals
         if (planRequested || changes != lastPlannedChanges || now >= planDueAt) plan(now)
         eligibility.takeDueRequests(now).forEach { effects.ask(it) }
@@ -106,12 +114,11 @@
 
     private fun plan(now: Long) {
         planRequested = false
+        if (now >= planDueAt) eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
         planDueAt = now + PLAN_PERIOD_MILLIS
         lastPlannedChanges = workers.changes + runs.removals
-        eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
         val configuration = state.configuration ?: return
-        val usable = workers.all.filter { workers.isUsable(it, state.drainedZones, now) }
-        val planned = planner.plan(configuration, usable, now)
+        val planned = planner.plan(configuration, now) { workers.all.filter { workers.isUsable(it, state.drainedZones, now) } }
         if (planned.isEmpty()) return
         planned.forEach { runs.track(it.assignment.run, it.worker, RunStage.PROPOSED, it.ticket, now) }
         planned.groupBy { StepKey(it.assignment.run.task.job, it.assignment.run.task.step) }.forEach { (step, placed) ->
@@ -139,5 +146,8 @@
 
     private companion object {
         const val PLAN_PERIOD_MILLIS = 100L
+
+        /** Period at which all workers are checked for due calls; between two checks, only those that something happened to. */
+        const val SWEEP_PERIOD_MILLIS = 20L
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -25,17 +25,19 @@
 ) {
     private val loggedReasons = HashMap<StepKey, WaitReason>()
 
-    /** Places as many waiting tasks as possible at [now]; [workers] contains only usable workers. */
+    /** Places as many waiting tasks as possible at [now]; [usableWorkers] is called only if any task waits. */
     fun plan(
         configuration: Configuration,
-        workers: List<WorkerRecord>,
         now: Long,
+        usableWorkers: () -> List<WorkerRecord>,
     ): List<PlannedRun> {
         queue.removeFinished()
-        val pools = workers.groupBy { it.report?.pool }.mapValues { FreeCapacity(it.value, now) }
+        val waiting = queue.waiting(configuration, runs, now)
+        if (waiting.isEmpty()) return emptyList()
+        val pools = usableWorkers().groupBy { it.report?.pool }.mapValues { FreeCapacity(it.value, now) }
         val placed = ArrayList<PlannedRun>()
         usage.releaseReservations()
-        queue.waiting(configuration, runs, now).forEach { step ->
+        waiting.forEach { step ->
             val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), now)
             when (val result = placer.place(step, configuration, free, runs, now)) {
                 is PlacementResult.Placed -> {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -15,6 +15,7 @@
 ) {
     private val byTask = HashMap<TaskId, RunRecord>()
     private val byJob = HashMap<String, LinkedHashSet<RunRecord>>()
+    private val countByStep = HashMap<StepKey, Int>()
 
     /** Number of runs removed so far; a change means that resources may have become free. */
     var removals = 0L
@@ -28,6 +29,9 @@
     /** All tracked runs of [step]. */
     fun ofStep(step: StepKey): List<RunRecord> = byJob[step.job].orEmpty().filter { it.run.task.step == step.step }
 
+    /** Number of tracked runs of [step]. */
+    fun countOfStep(step: StepKey): Int = countByStep[step] ?: 0
+
     /** Tracks [run] on [worker]; does nothing when its job is unknown. */
     fun track(
         run: RunId,
@@ -39,7 +43,8 @@
         val job = state.job(run.task.job) ?: return
         val step = job.request.steps[run.task.step]
         val record = RunRecord(run, job.request.team, job.request.queue, step, worker, stage, ticket, proposedAt)
-        byTask[run.task] = record
+        byTask.put(run.task, record)?.let { changeCount(it, -1) }
+        changeCount(record, 1)
         byJob.getOrPut(job.id) { LinkedHashSet() }.add(record)
         worker.add(record)
         usage.add(record.team, record.demand)
@@ -49,6 +54,7 @@
     fun untrack(record: RunRecord) {
         if (byTask[record.run.task] !== record) return
         byTask.remove(record.run.task)
+        changeCount(record, -1)
         byJob[record.run.task.job]?.let { jobRuns ->
             jobRuns.remove(record)
             if (jobRuns.isEmpty()) byJob.remove(record.run.task.job)
@@ -58,6 +64,13 @@
         removals++
     }
 
+    private fun changeCount(
+        record: RunRecord,
+        change: Int,
+    ) {
+        countByStep.merge(StepKey(record.run.task.job, record.run.task.step), change) { a, b -> (a + b).takeIf { it > 0 } }
+    }
+
     fun stopJobRuns(job: String) {
         byJob[job]?.forEach { it.stopWanted = true }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -82,7 +82,8 @@
         collected: ArrayList<WaitingStep>,
     ) {
         job.steps.forEachIndexed { index, step ->
-            if (step.isDone || !job.isReady(index)) return@forEachIndexed
+            // Most live jobs have a run of every task that is left.
+            if (step.isDone || runs.countOfStep(StepKey(job.id, index)) >= step.left || !job.isReady(index)) return@forEachIndexed
             val waiting =
                 step.tasks.indices.filter { i ->
                     val task = step.tasks[i]
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -24,6 +24,7 @@
         now: Long,
     ) {
         val worker = workers[call.worker] ?: return
+        workers.touch(worker)
         updateConnection(worker, reply, now)
         when (call) {
             is WorkerCall.Start -> startReplied(call, reply, now)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -13,6 +13,7 @@
     private val byIncarnation = LinkedHashMap<WorkerIncarnation, WorkerRecord>()
     private val byId = HashMap<String, LinkedHashSet<WorkerRecord>>()
     private val byAddress = HashMap<String, LinkedHashSet<WorkerRecord>>()
+    private val touched = LinkedHashSet<WorkerRecord>()
 
     /** Incremented whenever a worker appears or becomes able or unable to get runs. */
     var changes = 0L
@@ -20,6 +21,19 @@
 
     val all: Collection<WorkerRecord> get() = byIncarnation.values
 
+    /** Records that a call to [worker] may have become due. */
+    fun touch(worker: WorkerRecord) {
+        touched.add(worker)
+    }
+
+    /** Returns and clears the workers passed to [touch] since the last call. */
+    fun takeTouched(): List<WorkerRecord> {
+        if (touched.isEmpty()) return emptyList()
+        val result = ArrayList(touched)
+        touched.clear()
+        return result
+    }
+
     operator fun get(incarnation: WorkerIncarnation): WorkerRecord? = byIncarnation[incarnation]
 
     /** Returns the record of [incarnation], or adds one that is known since [now]. */
@@ -68,6 +82,7 @@
         record.report = report
         record.reportedAt = now
         record.readClock(report.clockMillis, now)
+        touch(record)
     }
 
     /** Marks the worker called [id] as leaving. */
@@ -75,7 +90,10 @@
         id: String,
         now: Long,
     ) {
-        byId[id].orEmpty().forEach { it.leftAt = minOf(it.leftAt, now) }
+        byId[id].orEmpty().forEach {
+            it.leftAt = minOf(it.leftAt, now)
+            touch(it)
+        }
     }
 
     /** Marks [worker] as terminated for [reason]; it is guaranteed to run nothing any more. */
