Let idle processes wake up less often and forward worker reports together

Each of 52 processes ticked every 50 ms, polled the link of each dial loop every 150 ms, sent heartbeats beside statuses, and each worker's report was sent on alone to four nodes (about 1,000 frames a second).

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -5,6 +5,7 @@
 import rhubarbknot.flow.dispatch.DispatchSettings
 import rhubarbknot.flow.dispatch.Dispatcher
 import rhubarbknot.flow.dispatch.EligibilityReply
+import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.model.WorkerReport
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowOutcome
@@ -74,6 +75,8 @@
         )
     private val peers = ControlPeers(self, config.seeds)
     private val workerReports = LinkedHashMap<String, ReceivedReport>()
+    private val reportsToForward = LinkedHashMap<WorkerIncarnation, WorkerReport>()
+    private var reportsDueAt = 0L
     private val proposals = ProposalTracker()
     private val effects = ArrayList<NodeEffect>()
     private var dispatcher: Dispatcher? = null
@@ -82,6 +85,9 @@
     private var lastBroadcastServing = false
     private var shutdownStartedAt = 0L
 
+    /** Whether the dispatcher has yet to be told which peers can ask the eligibility service. */
+    private var peersChanged = true
+
     init {
         durable.snapshot?.let { state.restore(it.state) }
     }
@@ -129,10 +135,12 @@
             NodeEvent.Tick -> tick(now)
             is NodeEvent.LinkUp -> {
                 peers.peerConnected(event.peer)
+                peersChanged = true
                 log(NodeLogEvent.PEER_CONNECTED, event.peer.address, "zone=${event.peer.zone} replica=${event.peer.replica}")
                 effects += NodeEffect.Send(event.peer.address, currentStatus(now))
             }
             is NodeEvent.LinkDown -> {
+                peersChanged = true
                 peers.peerDisconnected(event.address)?.let { step(ReplicaEvent.Disconnected(ReplicaId(it.replica)), now) }
                 log(NodeLogEvent.PEER_LOST, event.address)
                 updateLeader(now)
@@ -159,6 +167,7 @@
         peers.removeStaleStatuses(now)
         updateLeader(now)
         if (now >= statusDueAt) broadcastStatus(now)
+        if (now >= reportsDueAt) forwardReports(now)
         if (now >= membershipCheckDueAt) {
             membershipCheckDueAt = now + MEMBERSHIP_CHECK_PERIOD_MILLIS
             updateMembership(now)
@@ -208,7 +217,7 @@
         val request = event.request
         if (request is FlowRequest.Report) {
             reportReceived(request.report, now)
-            peers.controlAddresses().forEach { effects += NodeEffect.Send(it, NodeFrame.WorkerReported(request.report)) }
+            reportsToForward[request.report.life] = request.report
             if (!request.report.draining) {
                 effects += NodeEffect.Reply(event.number, FlowAnswer.Done)
                 return
@@ -217,6 +226,19 @@
         execute(router.submit(event.number, request, now), now)
     }
 
+    /**
+     * Sends the reports received since the last call to the other control nodes, all at once: a frame written alone costs each
+     * receiver a wake-up, and a hundred workers report each second.
+     */
+    private fun forwardReports(now: Long) {
+        reportsDueAt = now + REPORT_FORWARD_PERIOD_MILLIS
+        if (reportsToForward.isEmpty()) return
+        peers.controlAddresses().forEach { address ->
+            reportsToForward.values.forEach { effects += NodeEffect.Send(address, NodeFrame.WorkerReported(it)) }
+        }
+        reportsToForward.clear()
+    }
+
     private fun reportReceived(
         report: WorkerReport,
         now: Long,
@@ -289,11 +311,13 @@
             val newDispatcher = Dispatcher(state, config.dispatch, replica.term, now)
             workerReports.values.forEach { newDispatcher.workerReported(it.report, it.receivedAt) }
             dispatcher = newDispatcher
+            peersChanged = true
             log(NodeLogEvent.LEADING, self.address, "term=${replica.term} configuration=${state.configuration?.version}")
         }
         val active = dispatcher ?: return
         if (serving(now)) {
-            active.setEligibilityCallers(peers.addresses + self.address)
+            if (peersChanged) active.setEligibilityCallers(peers.addresses + self.address)
+            peersChanged = false
             active.dispatchDue(now)
         }
         collectEffects(active)
@@ -461,6 +485,9 @@
         const val STATUS_PERIOD_MILLIS = 400L
         const val MEMBERSHIP_CHECK_PERIOD_MILLIS = 200L
         const val REPORT_RETENTION_MILLIS = 20_000L
+
+        /** Short against the time without a report after which a worker gets no runs. */
+        const val REPORT_FORWARD_PERIOD_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 2_000L
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
@@ -14,8 +14,15 @@
         now: Long,
     ): List<NodeEffect>
 
+    /** Time until the next [NodeEvent.Tick] that the node needs, in milliseconds. */
+    val tickMillis: Long get() = DEFAULT_TICK_MILLIS
+
     /** Current health of the process. */
     fun health(now: Long): NodeHealth
+
+    companion object {
+        const val DEFAULT_TICK_MILLIS = 50L
+    }
 }
 
 /**
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -103,6 +103,9 @@
     @Volatile
     private var shuttingDown = false
 
+    @Volatile
+    private var tickMillis = FlowNode.DEFAULT_TICK_MILLIS
+
     /** Whether the node accepts new callers. */
     val isReady: Boolean get() = health.ready && !shuttingDown
 
@@ -120,7 +123,7 @@
         trafficScope.launch {
             while (true) {
                 events.send(NodeEvent.Tick)
-                delay(TICK_MILLIS)
+                delay(tickMillis)
             }
         }
         recordEvent(EventLogEntry(NodeLogEvent.STARTED.name, self.address, "zone=${self.zone} replica=${self.replica}"))
@@ -186,6 +189,7 @@
                 val now = clock.millis()
                 val effects = node.handle(batch, now)
                 if (NodeEvent.Tick in batch) updateHealth(node.health(now))
+                tickMillis = node.tickMillis
                 applyEffects(effects)
             } catch (e: CancellationException) {
                 throw e
@@ -278,7 +282,6 @@
     }
 
     private companion object {
-        const val TICK_MILLIS = 50L
         const val MAX_EVENT_BATCH = 1_024
         const val EXIT_FATAL_ERROR = 3
         const val EXIT_NETWORK_FAILURE = 4
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -57,6 +57,7 @@
 ) {
     private val links = HashMap<String, ArrayDeque<Link>>()
     private val dialJobs = HashMap<String, Job>()
+    private val linkLost = HashMap<String, Channel<Unit>>()
     private var consecutiveUnexpectedErrors = 0
 
     suspend fun listen() {
@@ -98,9 +99,12 @@
 
     private suspend fun dialLoop(address: String) {
         val (host, port) = Addresses.split(address)
+        val lost = linkLost.getOrPut(address) { Channel(Channel.CONFLATED) }
         while (scope.isActive) {
             // One link is enough, because the accepting side sends on it as well.
-            if (links[address].isNullOrEmpty()) {
+            if (!links[address].isNullOrEmpty()) {
+                lost.receive()
+            } else {
                 try {
                     val socket = withTimeout(DIAL_TIMEOUT_MILLIS) { aSocket(selector).tcp().connect(host, port) { noDelay = true } }
                     serveAndClose(socket)
@@ -151,8 +155,8 @@
             val heartbeat =
                 launch {
                     while (true) {
-                        delay(HEARTBEAT_MILLIS)
-                        link.queue.trySend(NodeFrame.Hello(self))
+                        delay(HEARTBEAT_MILLIS - link.idleMillis().coerceIn(0, HEARTBEAT_MILLIS - 1))
+                        if (link.idleMillis() >= HEARTBEAT_MILLIS) link.queue.trySend(NodeFrame.Hello(self))
                     }
                 }
             var peer: NodeIdentity? = null
@@ -184,6 +188,7 @@
         remaining.remove(link)
         if (remaining.isNotEmpty()) return
         links.remove(peer.address)
+        linkLost[peer.address]?.trySend(Unit)
         listener.onLinkDown(peer.address)
     }
 
@@ -215,6 +220,10 @@
         private val windowReopened = Channel<Unit>(Channel.CONFLATED)
         private var unacknowledgedBytes = 0
         private var bytesReceivedSinceWrite = 0
+        private var writtenAtNanos = System.nanoTime()
+
+        /** Time since the last frame was written. */
+        fun idleMillis(): Long = (System.nanoTime() - writtenAtNanos) / NANOS_PER_MILLI
 
         fun onReceived(bytes: Int) {
             bytesReceivedSinceWrite += bytes
@@ -232,6 +241,7 @@
         fun onWritten(bytes: Int) {
             unacknowledgedBytes += bytes
             bytesReceivedSinceWrite = 0
+            writtenAtNanos = System.nanoTime()
         }
 
         suspend fun awaitWindow(flush: suspend () -> Unit) {
@@ -248,6 +258,7 @@
         /** Well above a round trip, and below the 1 second after which TCP retransmits a lost SYN. */
         const val DIAL_TIMEOUT_MILLIS = 400L
         const val HEARTBEAT_MILLIS = 500L
+        const val NANOS_PER_MILLI = 1_000_000L
         const val REDIAL_DELAY_MILLIS = 150L
         const val QUEUE_CAPACITY = 4_096
         const val MAX_UNEXPECTED_ERRORS = 20
