Hold requests when the leader has been silent for 900 ms in place of forwarding them

A gateway believed a silent leader for 1.6 s, so requests were forwarded to a machine that was gone, and their outcome could not be told any more. Change: any frame counts as a sign of the leader; after 900 ms without one, requests are held, and sent to the leader that is heard next or refused as not run. Test: GatewayNodeSpec.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
@@ -22,6 +22,8 @@
     private var limits: RequestLimits? = null
     private var isShuttingDown = false
 
+    override val tickMillis: Long get() = if (router.openCount > 0) FlowNode.DEFAULT_TICK_MILLIS else IDLE_TICK_MILLIS
+
     override fun handle(
         events: List<NodeEvent>,
         now: Long,
@@ -42,7 +44,7 @@
     ) {
         when (event) {
             NodeEvent.Tick -> {
-                controlStatuses.values.removeIf { now - it.receivedAt > STATUS_RETENTION_MILLIS }
+                controlStatuses.values.removeIf { now - it.heardAt > STATUS_RETENTION_MILLIS }
                 updateLeader(now)
                 execute(router.tick(now))
             }
@@ -66,6 +68,7 @@
         frame: NodeFrame,
         now: Long,
     ) {
+        controlStatuses[from.address]?.heardAt = now
         when (frame) {
             is NodeFrame.Status -> {
                 controlStatuses[from.address] = ReceivedStatus(frame, now)
@@ -83,7 +86,7 @@
         val newest =
             controlStatuses.entries
                 .filter {
-                    it.value.status.serving && now - it.value.receivedAt < LEADER_TIMEOUT_MILLIS
+                    it.value.status.serving && now - it.value.heardAt < LEADER_TIMEOUT_MILLIS
                 }.maxByOrNull { it.value.status.term }
         if (newest?.key != leader) {
             log(NodeLogEvent.LEADER_CHANGED, newest?.key.orEmpty(), "term=${newest?.value?.status?.term} before=$leader")
@@ -137,12 +140,19 @@
 
     private class ReceivedStatus(
         val status: NodeFrame.Status,
-        val receivedAt: Long,
+        var heardAt: Long,
     )
 
     private companion object {
-        /** Age at which the last status of a leader no longer counts. */
-        const val LEADER_TIMEOUT_MILLIS = 1_600L
+        /**
+         * Time without any frame from a leader after which requests are held instead of forwarded: what was forwarded to a
+         * leader that is gone has an unknown outcome, what was held can be refused as not run. A leader reports its status every
+         * 400 ms, so one lost status is tolerated.
+         */
+        const val LEADER_TIMEOUT_MILLIS = 900L
         const val STATUS_RETENTION_MILLIS = 10_000L
+
+        /** Without open requests, only the age of the leader's last status has to be checked. */
+        const val IDLE_TICK_MILLIS = 200L
     }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/load/LoadReport.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/load/LoadReport.kt
@@ -14,6 +14,14 @@
         private set
     private var completed = false
     var wastedCoreMillis = 0L
+    private var startedAt = 0L
+
+    /** Time from the submission to the first start; null when nothing was started. */
+    val startMillis: Long? get() = if (startedAt == 0L) null else startedAt - submittedAt
+
+    fun runStarted(now: Long) {
+        if (startedAt == 0L) startedAt = now
+    }
 
     fun gang(run: RunId): ReplayGang = gangs.getOrPut(run.task.step to run.number) { ReplayGang() }
 
@@ -65,10 +73,12 @@
     val wastedCoreSeconds: Long,
     val eligibilitySeconds: Double,
     val eligibilityRequests: Int,
+    val urgentStartP99Millis: Long,
     val microsPerDispatch: Long,
 ) {
     companion object {
         private const val WINDOW_MILLIS = 2_000
+        private const val PERCENTILE = 0.99
 
         fun of(
             jobs: Collection<ReplayJob>,
@@ -86,9 +96,13 @@
                 jobs.sumOf { it.wastedCoreMillis } / 1_000,
                 eligibilityMillis / 1_000,
                 eligibilityRequests,
+                percentile(jobs.filter { it.kind.priority == 0 }.map { it.startMillis ?: Long.MAX_VALUE }),
                 nanosPerDispatch / 1_000,
             )
 
+        private fun percentile(millis: List<Long>): Long = millis.sorted()[(millis.size * PERCENTILE).toInt()]
+
+
         private fun worth(jobs: Collection<ReplayJob>): Double = jobs.sumOf { it.earned } / jobs.sumOf { it.owed }
     }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/load/ReplayWorker.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/load/ReplayWorker.kt
@@ -98,6 +98,7 @@
         if (active[run.task]?.run == run) return
         active[run.task] = Active(run, replay.clock())
         val job = replay.job(run.task.job)
+        job.runStarted(replay.clock())
         val step = job.steps[run.task.step]
         if (!step.spec.gang) return schedule(run, step.millis, job)
         val gang = job.gang(run)
