Append commands that arrive within one sync together

Cause: the leader appended once for each batch of events: each of some 350 starts and 350 ends a second on the large site led to messages to four followers, their answers and syncs of its own. Change: while an entry is uncommitted, the next append waits until 5 ms after the last one, about one sync. An idle group appends at once. Commands that were not appended when leadership is lost are refused as not run. Test: ControlNodeSpec.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -80,6 +80,7 @@
     private val proposals = ProposalTracker()
     private val effects = ArrayList<NodeEffect>()
     private var dispatcher: Dispatcher? = null
+    private var lastProposedAt = 0L
     private var statusDueAt = 0L
     private var membershipCheckDueAt = 0L
     private var lastBroadcastServing = false
@@ -348,8 +349,12 @@
         }
 
     private fun propose(now: Long) {
+        // Nothing is added to the latency of an idle group: without uncommitted entries, commands are appended at once.
+        val isCommitPending = replica.isLeader && replica.lastIndex > replica.commitIndex
+        if (isCommitPending && now - lastProposedAt < PROPOSAL_GAP_MILLIS) return
         val batch = proposals.takeQueued()
         if (batch.isEmpty()) return
+        lastProposedAt = now
         val first = replica.lastIndex + 1
         if (replica.isLeader) {
             proposals.appended(first, batch)
@@ -420,6 +425,10 @@
     ) {
         if (role == Role.LEADER) return
         dispatcher = null
+        // Commands that were not appended belong to the lost term and have not run.
+        proposals.takeQueued().forEach { proposal ->
+            proposal.caller?.let { answer(it, FlowAnswer.Refused(Refusal.NO_LEADER), now) }
+        }
         proposals.abandonAll().forEach { answer(it, FlowAnswer.OutcomeUnknown, now) }
         if (lastBroadcastServing) broadcastStatus(now)
     }
@@ -478,6 +487,12 @@
     private companion object {
         val COMMAND_SERIALIZER = FlowCommand.serializer()
 
+        /**
+         * Minimum time between two appends while an entry is uncommitted, about one sync of a disk: commands that arrive in
+         * between share their messages and syncs.
+         */
+        const val PROPOSAL_GAP_MILLIS = 5L
+
         /** Small enough that a replica that is catching up does not delay the others. */
         const val MAX_APPEND_BYTES = 48 * 1024
         const val SNAPSHOT_CHUNK_BYTES = 48 * 1024
--- /dev/null
+++ b/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
@@ -0,0 +1,107 @@
+package rhubarbknot.flow
+
+import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import rhubarbknot.flow.node.ControlConfig
+import rhubarbknot.flow.node.ControlNode
+import rhubarbknot.flow.node.FlowAnswer
+import rhubarbknot.flow.node.FlowRequest
+import rhubarbknot.flow.node.NodeEffect
+import rhubarbknot.flow.node.NodeEvent
+import rhubarbknot.flow.node.NodeFrame
+import rhubarbknot.flow.node.NodeIdentity
+import rhubarbknot.quorum.DurableState
+import rhubarbknot.quorum.Members
+import rhubarbknot.quorum.ReplicaId
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+@DisplayName("ControlNode")
+class ControlNodeSpec {
+    private val self = NodeIdentity(ADDRESS, "z1", "$ADDRESS#1")
+    private val members = Members(setOf(ReplicaId(self.replica)))
+    private val node = ControlNode(ControlConfig(self, setOf(ADDRESS), members, targetVoterCount = 1), DurableState(), 0)
+    private var now = 0L
+
+    private fun handle(vararg events: NodeEvent): List<NodeEffect> = node.handle(events.toList(), now)
+
+    private fun persisted(effects: List<NodeEffect>) = effects.filterIsInstance<NodeEffect.Persist>()
+
+    /** Acknowledges everything that [effects] persist, until nothing more is written; returns all effects. */
+    private fun sync(effects: List<NodeEffect>): List<NodeEffect> {
+        val last = persisted(effects).lastOrNull() ?: return effects
+        return effects + sync(handle(NodeEvent.Persisted(last.batch.sequence)))
+    }
+
+    private fun lead() {
+        while (!node.health(now).ready) {
+            now += TICK_MILLIS
+            check(now < ELECTION_LIMIT_MILLIS) { "the only voter was not elected" }
+            sync(handle(NodeEvent.Tick))
+        }
+        now += TICK_MILLIS
+        sync(handle(NodeEvent.Tick))
+    }
+
+    private fun drainZone(number: Long) = NodeEvent.RequestReceived(number, FlowRequest.SetZone("z$number", drained = true))
+
+    @Nested
+    @DisplayName("when commands arrive one after the other")
+    inner class GroupCommit {
+        init {
+            lead()
+        }
+
+        @Test
+        fun `appends the first at once and the next ones together with one sync`() {
+            val first = handle(drainZone(1))
+            expectThat(persisted(first)).hasSize(1)
+            now += 1
+            expectThat(persisted(handle(drainZone(2)))).isEmpty()
+            now += 1
+            expectThat(persisted(handle(drainZone(3)))).isEmpty()
+            now += 2
+            val effects = sync(first)
+            val answers = effects.filterIsInstance<NodeEffect.Reply>()
+            expectThat(answers.map { it.number }).isEqualTo(listOf(1L, 2L, 3L))
+            expectThat(answers.map { it.answer }.distinct()).isEqualTo(listOf<FlowAnswer>(FlowAnswer.Done))
+            expectThat(persisted(effects).count { it.batch.entries.isNotEmpty() }).isEqualTo(2)
+        }
+
+        @Test
+        fun `does not wait longer than the time of a sync when the disk is slow`() {
+            handle(drainZone(1))
+            now += 1
+            handle(drainZone(2))
+            now += TICK_MILLIS
+            expectThat(persisted(handle(NodeEvent.Tick)).count { it.batch.entries.isNotEmpty() }).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `forwards the latest report of each worker to the other control nodes in one go`() {
+        val peer = NodeIdentity("10.0.0.2:7000", "z2", "10.0.0.2:7000#1")
+        lead()
+        handle(NodeEvent.LinkUp(peer))
+        now += 1_000
+        handle(NodeEvent.Tick)
+
+        fun reported(effects: List<NodeEffect>) =
+            effects.filterIsInstance<NodeEffect.Send>().filter { it.to == peer.address }.mapNotNull { it.frame as? NodeFrame.WorkerReported }
+        val reports = listOf(FlowFixture.report("w1"), FlowFixture.report("w2"), FlowFixture.report("w1", sequence = 2))
+        val received = reports.mapIndexed { i, report -> NodeEvent.RequestReceived(i.toLong(), FlowRequest.Report(report)) }
+        expectThat(reported(handle(*received.toTypedArray()))).isEmpty()
+        now += 200
+        val forwarded = reported(handle(NodeEvent.Tick)).map { it.report.life.id to it.report.sequence }
+        expectThat(forwarded).isEqualTo(listOf("w1" to 2L, "w2" to 1L))
+    }
+
+    private companion object {
+        const val ADDRESS = "10.0.0.1:7000"
+        const val TICK_MILLIS = 50L
+        const val ELECTION_LIMIT_MILLIS = 5_000L
+    }
+}
