Keep lasting steps in time for as long as they live

Cause: a step whose tasks last was classed by its objective like work that ends, so once a job was three objectives old, a task that lost its worker waited behind all work that could still be in time, although it has value only while it runs; its failures, which have no limit, put it back further. Change: a lasting step is always in time, without slack, and its failures do not count for the order. Test: SchedulingOrderSpec (fails before: the fresh job is started in its place).

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
@@ -28,6 +28,7 @@
     val objectiveAt: Long,
     val uselessAfter: Long,
     private val remainingMillis: LongArray,
+    private val lasting: BooleanArray,
 ) {
     private val readyAt = LongArray(remainingMillis.size)
 
@@ -40,14 +41,21 @@
         return readyAt[index]
     }
 
-    /** Latest start of step [index] with which the job is expected to meet its objective. */
-    fun latestStart(index: Int): Long = objectiveAt - remainingMillis[index]
+    /**
+     * Latest start of step [index] with which the job is expected to meet its objective. A lasting step has value only while
+     * its tasks run, so it has no slack.
+     */
+    fun latestStart(index: Int): Long = if (lasting[index]) readyAt[index] else objectiveAt - remainingMillis[index]
 
-    /** Tier of the job if step [index] starts at [now]. Estimates are rough, so only part of the estimate is assumed. */
+    /**
+     * Tier of the job if step [index] starts at [now]. Estimates are rough, so only part of the estimate is assumed. A lasting
+     * step never becomes too late: a task that lost its worker after hours is as valuable as before.
+     */
     fun tier(
         index: Int,
         now: Long,
     ): Tier {
+        if (lasting[index]) return Tier.ON_TIME
         val minRemainingMillis = remainingMillis[index] * MIN_ESTIMATE_TENTHS / TENTHS
         return when {
             now + minRemainingMillis <= objectiveAt -> Tier.ON_TIME
@@ -78,7 +86,12 @@
                 remainingMillis[i] = eligibilityMillis + durations.expectedMillis(queue.name, steps[i]) + successorMillis
             }
             val allowedMillis = (queue.slackFactor * (remainingMillis.maxOrNull() ?: 0)).toLong() + queue.targetMillis
-            return JobTiming(job.acceptedAtMillis + allowedMillis, job.acceptedAtMillis + LATE_FACTOR * allowedMillis, remainingMillis)
+            return JobTiming(
+                objectiveAt = job.acceptedAtMillis + allowedMillis,
+                uselessAfter = job.acceptedAtMillis + LATE_FACTOR * allowedMillis,
+                remainingMillis = remainingMillis,
+                lasting = BooleanArray(steps.size) { steps[it].lasting },
+            )
         }
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -29,8 +29,8 @@
     val spec: StepSpec get() = job.request.steps[index]
     val tasks: List<Task> get() = job.steps[index].tasks
 
-    /** Highest number of failures among the waiting tasks. */
-    val failures: Int = waiting.maxOf { tasks[it].failures }
+    /** Highest number of failures among the waiting tasks; 0 for a lasting step, whose attempts are not limited. */
+    val failures: Int = if (spec.lasting) 0 else waiting.maxOf { tasks[it].failures }
 
     fun taskId(task: Int): TaskId = TaskId(job.id, 0, index, task)
 }
@@ -92,7 +92,8 @@
             if (waiting.isEmpty()) return@forEachIndexed
             val timing = timings.getOrPut(job.id) { JobTiming.of(job, queue, durations) }
             val tier = if (job.id in beyondShare) maxOf(Tier.BEYOND_SHARE, timing.tier(index, now)) else timing.tier(index, now)
-            collected += WaitingStep(job, queue, index, waiting, tier, timing.latestStart(index), timing.readyAt(index, now))
+            val readyAt = timing.readyAt(index, now)
+            collected += WaitingStep(job, queue, index, waiting, tier, timing.latestStart(index), readyAt)
         }
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/SchedulingOrderSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/SchedulingOrderSpec.kt
@@ -143,6 +143,18 @@
         expectThat(startCalls(dispatchAll(200)).map { it.run.task.job }).contains("old")
     }
 
+    @Test
+    fun `a lasting task that ended long after its submission is restarted before jobs that can still be in time`() {
+        submit("service", spec = step().copy(estimatedMillis = 1_000, lasting = true), at = now - 60_000)
+        registerWorkers("w1")
+        val service = startCalls(dispatchAll(200)).single()
+        submit("filling", spec = step(3).copy(estimatedMillis = 1_000))
+        dispatchAll(200)
+        submit("fresh", spec = step(2).copy(estimatedMillis = 1_000))
+        reportEnd(service, RunOutcome.FAILED)
+        expectThat(startCalls(dispatchAll(200)).map { it.run.task.job }).isEqualTo(listOf("service"))
+    }
+
     @Test
     fun `jobs beyond the share of a team wait behind the jobs of other teams`() {
         // Weight 4 allows 22 jobs within five seconds plus a burst of 20.
