Give every call over HTTP an outcome, whatever the server sends

Cause: a response with a bad or oversized Content-Length, a chunked body that is cut off or malformed, or a bad status code left HttpClient.call as an exception that NodeDriver did not catch. The call had no reply then: a renewal stayed in flight for good, so the lease of a sound worker ran out and its work was given up, until the next change of leader. Change: HttpClient returns NoResponse for every such failure, and NodeDriver posts a reply for every exception.

--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
@@ -69,10 +69,8 @@
         } catch (_: CancellationException) {
             // Ktor cancels the channels of a broken connection; rethrow only if this coroutine itself was cancelled.
             currentCoroutineContext().ensureActive()
-        } catch (_: IOException) {
-            // Reported through the returned outcome.
-        } catch (_: IllegalStateException) {
-            // The response is not valid HTTP; treated like a missing response.
+        } catch (_: Exception) {
+            // The connection failed or the response is not valid HTTP. Whatever a server sends, the caller gets an outcome.
         } finally {
             connection?.close()
         }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -235,7 +235,7 @@
             } catch (e: CancellationException) {
                 currentCoroutineContext().ensureActive()
                 null
-            } catch (e: RuntimeException) {
+            } catch (e: Exception) {
                 recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED.name, effect.call.worker.id, e.toString()))
                 null
             } ?: WorkerReply.NoResponse
@@ -249,7 +249,7 @@
             } catch (e: CancellationException) {
                 currentCoroutineContext().ensureActive()
                 null
-            } catch (e: RuntimeException) {
+            } catch (e: Exception) {
                 recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED.name, effect.step, e.toString()))
                 null
             }
