Forward reports of draining workers at once, test links without heartbeats, and format

Cause: since reports are forwarded together, the other nodes learned up to 200 ms later that a worker drains; a leader that ended in between would have left its successor with an older report. Test: ControlNodeSpec (fails before), and PeerLinksSpec for links on which frames replace heartbeats and for the next dial after a loss.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -114,7 +114,11 @@
 
     private fun plan(now: Long) {
         planRequested = false
-        if (now >= planDueAt) eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
+        if (now >=
+            planDueAt
+        ) {
+            eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
+        }
         planDueAt = now + PLAN_PERIOD_MILLIS
         lastPlannedChanges = workers.changes + runs.removals
         val configuration = state.configuration ?: return
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -219,6 +219,8 @@
         if (request is FlowRequest.Report) {
             reportReceived(request.report, now)
             reportsToForward[request.report.life] = request.report
+            // The next leader must know of a draining worker even if this process ends right after the acknowledgement.
+            if (request.report.draining) forwardReports(now)
             if (!request.report.draining) {
                 effects += NodeEffect.Reply(event.number, FlowAnswer.Done)
                 return
--- a/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
@@ -90,13 +90,21 @@
         handle(NodeEvent.Tick)
 
         fun reported(effects: List<NodeEffect>) =
-            effects.filterIsInstance<NodeEffect.Send>().filter { it.to == peer.address }.mapNotNull { it.frame as? NodeFrame.WorkerReported }
+            effects
+                .filterIsInstance<NodeEffect.Send>()
+                .filter {
+                    it.to == peer.address
+                }.mapNotNull { it.frame as? NodeFrame.WorkerReported }
         val reports = listOf(FlowFixture.report("w1"), FlowFixture.report("w2"), FlowFixture.report("w1", sequence = 2))
         val received = reports.mapIndexed { i, report -> NodeEvent.RequestReceived(i.toLong(), FlowRequest.Report(report)) }
         expectThat(reported(handle(*received.toTypedArray()))).isEmpty()
         now += 200
         val forwarded = reported(handle(NodeEvent.Tick)).map { it.report.life.id to it.report.sequence }
         expectThat(forwarded).isEqualTo(listOf("w1" to 2L, "w2" to 1L))
+        val draining = FlowFixture.report("w2", sequence = 2, draining = true)
+        expectThat(
+            reported(handle(NodeEvent.RequestReceived(4, FlowRequest.Report(draining)))).map { it.report },
+        ).isEqualTo(listOf(draining))
     }
 
     private companion object {
--- a/flow/src/test/kotlin/rhubarbknot/flow/load/LoadReport.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/load/LoadReport.kt
@@ -102,7 +102,6 @@
 
         private fun percentile(millis: List<Long>): Long = millis.sorted()[(millis.size * PERCENTILE).toInt()]
 
-
         private fun worth(jobs: Collection<ReplayJob>): Double = jobs.sumOf { it.earned } / jobs.sumOf { it.owed }
     }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/load/ReplayWorker.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/load/ReplayWorker.kt
@@ -103,7 +103,11 @@
         if (!step.spec.gang) return schedule(run, step.millis, job)
         val gang = job.gang(run)
         gang.members += run to this
-        if (gang.members.size == step.spec.count) gang.members.toList().forEach { (member, worker) -> worker.schedule(member, step.millis, job) }
+        if (gang.members.size ==
+            step.spec.count
+        ) {
+            gang.members.toList().forEach { (member, worker) -> worker.schedule(member, step.millis, job) }
+        }
     }
 
     private fun schedule(
@@ -128,7 +132,11 @@
         ends += NumberedRunEnd(++lastEnd, RunEnd(run, outcome))
         answerWaiting()
         if (step.gang && outcome != RunOutcome.DONE && outcome != RunOutcome.GANG_BROKEN) {
-            job.gang(run).members.filter { it.first != run }.forEach { (member, worker) -> worker.end(member, RunOutcome.GANG_BROKEN) }
+            job
+                .gang(run)
+                .members
+                .filter { it.first != run }
+                .forEach { (member, worker) -> worker.end(member, RunOutcome.GANG_BROKEN) }
         }
     }
 
--- a/flowd/src/test/kotlin/rhubarbknot/flowd/PeerLinksSpec.kt
+++ b/flowd/src/test/kotlin/rhubarbknot/flowd/PeerLinksSpec.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
@@ -15,7 +16,11 @@
 import org.junit.jupiter.api.Test
 import rhubarbknot.flow.node.NodeFrame
 import rhubarbknot.flow.node.NodeIdentity
+import rhubarbknot.wire.FrameCodec
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import java.net.ServerSocket
+import java.nio.ByteBuffer
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -37,13 +42,18 @@
     ) : LinkListener {
         val connected = CompletableDeferred<Unit>()
         val allReceived = CompletableDeferred<Unit>()
+        val linksUp = AtomicInteger()
+        val linksDown = AtomicInteger()
         private val frames = AtomicInteger()
 
         override fun onLinkUp(peer: NodeIdentity) {
+            linksUp.incrementAndGet()
             connected.complete(Unit)
         }
 
-        override fun onLinkDown(address: String) = Unit
+        override fun onLinkDown(address: String) {
+            linksDown.incrementAndGet()
+        }
 
         override fun onNetworkFailure(reason: String) = error(reason)
 
@@ -80,7 +90,60 @@
         }
     }
 
+    /** Frames replace heartbeats on the side that sends them; the other side must still send heartbeats. */
+    @Test
+    fun `keep a link open on which one side sends frames and the other one nothing`() {
+        val receiver = Listener(0)
+        val sender = Listener(0)
+        val to = "127.0.0.1:${freePort()}"
+        val from = links("127.0.0.1:${freePort()}", sender)
+        runBlocking {
+            links(to, receiver).listen()
+            withContext(scope.coroutineContext) { from.connect(setOf(to)) }
+            withTimeout(TIMEOUT_MILLIS) { sender.connected.await() }
+            repeat(SENDS) {
+                withContext(scope.coroutineContext) { from.send(to, NodeFrame.EligibilityAnswer(it.toLong(), null)) }
+                delay(SEND_PERIOD_MILLIS)
+            }
+        }
+        expectThat(receiver.linksDown.get() + sender.linksDown.get()).isEqualTo(0)
+    }
+
+    /** The first frame of the peer at [address], as bytes. */
+    private fun hello(address: String): ByteArray {
+        val frame = FrameCodec.cbor.encodeToByteArray(NodeFrame.serializer(), NodeFrame.Hello(NodeIdentity(address, "z1")))
+        return ByteBuffer
+            .allocate(Int.SIZE_BYTES + frame.size)
+            .putInt(frame.size)
+            .put(frame)
+            .array()
+    }
+
+    @Test
+    fun `dial again after a link is lost`() {
+        val peer = Listener(0)
+        ServerSocket(0).use { server ->
+            val to = "127.0.0.1:${server.localPort}"
+            val from = links("127.0.0.1:${freePort()}", peer)
+            runBlocking {
+                withContext(scope.coroutineContext) { from.connect(setOf(to)) }
+                repeat(2) {
+                    withContext(Dispatchers.IO) { server.accept() }.use { socket ->
+                        socket.getOutputStream().write(hello(to))
+                        withTimeout(TIMEOUT_MILLIS) { while (peer.linksUp.get() <= it) delay(POLL_MILLIS) }
+                    }
+                }
+            }
+        }
+        expectThat(peer.linksUp.get()).isEqualTo(2)
+    }
+
     private companion object {
+        /** Longer together than the time without a frame after which a link is closed. */
+        const val SENDS = 12
+        const val SEND_PERIOD_MILLIS = 200L
+        const val POLL_MILLIS = 10L
+
         /** About 700 KB in total: 15 s if each heartbeat opens only one window, far below 1 s at full speed. */
         const val FRAME_COUNT = 700
         const val WORKERS = 100
