--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -5,7 +5,6 @@
 import rhubarbknot.flow.dispatch.DispatchSettings
 import rhubarbknot.flow.dispatch.Dispatcher
 import rhubarbknot.flow.dispatch.EligibilityReply
-import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.model.WorkerReport
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowOutcome
@@ -74,9 +73,7 @@
             now,
         )
     private val peers = ControlPeers(self, config.seeds)
-    private val workerReports = LinkedHashMap<String, ReceivedReport>()
-    private val reportsToForward = LinkedHashMap<WorkerIncarnation, WorkerReport>()
-    private var reportsDueAt = 0L
+    private val workerReports = WorkerReportCache()
     private val proposals = ProposalTracker()
     private val effects = ArrayList<NodeEffect>()
     private var dispatcher: Dispatcher? = null
@@ -164,11 +161,11 @@
 
     private fun tick(now: Long) {
         step(ReplicaEvent.Tick, now)
-        workerReports.values.removeIf { now - it.receivedAt > REPORT_RETENTION_MILLIS }
+        workerReports.removeStale(now)
         peers.removeStaleStatuses(now)
         updateLeader(now)
         if (now >= statusDueAt) broadcastStatus(now)
-        if (now >= reportsDueAt) forwardReports(now)
+        forwardReports(workerReports.takeDue(now))
         if (now >= membershipCheckDueAt) {
             membershipCheckDueAt = now + MEMBERSHIP_CHECK_PERIOD_MILLIS
             updateMembership(now)
@@ -218,9 +215,9 @@
         val request = event.request
         if (request is FlowRequest.Report) {
             reportReceived(request.report, now)
-            reportsToForward[request.report.life] = request.report
+            workerReports.queueForward(request.report)
             // The next leader must know of a draining worker even if this process ends right after the acknowledgement.
-            if (request.report.draining) forwardReports(now)
+            if (request.report.draining) forwardReports(workerReports.takeQueued(now))
             if (!request.report.draining) {
                 effects += NodeEffect.Reply(event.number, FlowAnswer.Done)
                 return
@@ -229,27 +226,18 @@
         execute(router.submit(event.number, request, now), now)
     }
 
-    /**
-     * Sends the reports received since the last call to the other control nodes, all at once: a frame written alone costs each
-     * receiver a wake-up, and a hundred workers report each second.
-     */
-    private fun forwardReports(now: Long) {
-        reportsDueAt = now + REPORT_FORWARD_PERIOD_MILLIS
-        if (reportsToForward.isEmpty()) return
+    private fun forwardReports(reports: List<WorkerReport>) {
+        if (reports.isEmpty()) return
         peers.controlAddresses().forEach { address ->
-            reportsToForward.values.forEach { effects += NodeEffect.Send(address, NodeFrame.WorkerReported(it)) }
+            reports.forEach { effects += NodeEffect.Send(address, NodeFrame.WorkerReported(it)) }
         }
-        reportsToForward.clear()
     }
 
     private fun reportReceived(
         report: WorkerReport,
         now: Long,
     ) {
-        val previous = workerReports[report.life.id]
-        if (previous != null && !report.isNewerThan(previous.report)) return
-        workerReports[report.life.id] = ReceivedReport(report, now)
-        dispatcher?.workerReported(report, now)
+        if (workerReports.add(report, now)) dispatcher?.workerReported(report, now)
     }
 
     private fun execute(
@@ -312,7 +300,7 @@
     private fun updateLeadership(now: Long) {
         if (replica.isLeader && dispatcher == null && replica.holdsLease(now)) {
             val newDispatcher = Dispatcher(state, config.dispatch, replica.term, now)
-            workerReports.values.forEach { newDispatcher.workerReported(it.report, it.receivedAt) }
+            workerReports.all.forEach { newDispatcher.workerReported(it.report, it.receivedAt) }
             dispatcher = newDispatcher
             peersChanged = true
             log(NodeLogEvent.LEADING, self.address, "term=${replica.term} configuration=${state.configuration?.version}")
@@ -481,11 +469,6 @@
         effects += NodeEffect.LogEvent(EventLogEntry(event.name, subject, detail))
     }
 
-    private class ReceivedReport(
-        val report: WorkerReport,
-        val receivedAt: Long,
-    )
-
     private companion object {
         val COMMAND_SERIALIZER = FlowCommand.serializer()
 
@@ -501,10 +484,6 @@
         const val MAX_INFLIGHT = 24
         const val STATUS_PERIOD_MILLIS = 400L
         const val MEMBERSHIP_CHECK_PERIOD_MILLIS = 200L
-        const val REPORT_RETENTION_MILLIS = 20_000L
-
-        /** Short against the time without a report after which a worker gets no runs. */
-        const val REPORT_FORWARD_PERIOD_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 2_000L
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowNode.kt
@@ -21,6 +21,7 @@
     fun health(now: Long): NodeHealth
 
     companion object {
+        /** Tick of a node that has timers to watch, in milliseconds; no timer is later than this. */
         const val DEFAULT_TICK_MILLIS = 50L
     }
 }
