Do not queue heartbeats behind a writer that waits for its peer

Cause: since heartbeats are sent only on idle links, a writer that waits for its peer's window looked idle all the time, so a heartbeat was queued each millisecond until the link was closed, and pushed real frames out of the queue.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -114,11 +114,7 @@
 
     private fun plan(now: Long) {
         planRequested = false
-        if (now >=
-            planDueAt
-        ) {
-            eligibility.retain { key -> state.job(key.job)?.let { !it.phase.isFinal && !it.steps[key.step].isDone } ?: false }
-        }
+        if (now >= planDueAt) eligibility.retain { isUnfinished(it) }
         planDueAt = now + PLAN_PERIOD_MILLIS
         lastPlannedChanges = workers.changes + runs.removals
         val configuration = state.configuration ?: return
@@ -131,6 +127,11 @@
         effects.propose(FlowCommand.Assign(planned.map { it.assignment }))
     }
 
+    private fun isUnfinished(step: StepKey): Boolean {
+        val job = state.job(step.job) ?: return false
+        return !job.phase.isFinal && !job.steps[step.step].isDone
+    }
+
     private fun logAssigned(
         step: StepKey,
         placed: List<PlannedRun>,
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/PeerLinks.kt
@@ -155,8 +155,10 @@
             val heartbeat =
                 launch {
                     while (true) {
-                        delay(HEARTBEAT_MILLIS - link.idleMillis().coerceIn(0, HEARTBEAT_MILLIS - 1))
-                        if (link.idleMillis() >= HEARTBEAT_MILLIS) link.queue.trySend(NodeFrame.Hello(self))
+                        val untilIdle = HEARTBEAT_MILLIS - link.idleMillis()
+                        if (untilIdle <= 0) link.queue.trySend(NodeFrame.Hello(self))
+                        // A writer that waits for the peer stays idle; heartbeats must not pile up behind it.
+                        delay(if (untilIdle <= 0) HEARTBEAT_MILLIS else untilIdle)
                     }
                 }
             var peer: NodeIdentity? = null
--- a/flowd/src/test/kotlin/rhubarbknot/flowd/PeerLinksSpec.kt
+++ b/flowd/src/test/kotlin/rhubarbknot/flowd/PeerLinksSpec.kt
@@ -19,7 +19,11 @@
 import rhubarbknot.wire.FrameCodec
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import java.io.DataInputStream
 import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
 import java.nio.ByteBuffer
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicInteger
@@ -126,6 +130,48 @@
             .array()
     }
 
+    /** Heartbeats that pile up behind a blocked writer would push the frames that wait with them out of the queue. */
+    @Test
+    fun `queue no more heartbeats than usual while the peer acknowledges nothing`() {
+        val peer = Listener(0)
+        ServerSocket(0).use { server ->
+            val to = "127.0.0.1:${server.localPort}"
+            val from = links("127.0.0.1:${freePort()}", peer)
+            runBlocking {
+                withContext(scope.coroutineContext) { from.connect(setOf(to)) }
+                withContext(Dispatchers.IO) { server.accept() }.use { socket ->
+                    socket.getOutputStream().write(hello(to))
+                    withTimeout(TIMEOUT_MILLIS) { peer.connected.await() }
+                    withContext(scope.coroutineContext) {
+                        repeat(WINDOW_FRAMES) { from.send(to, NodeFrame.AskEligibility(1, "step", List(WORKERS) { i -> "worker-$i" }, 1)) }
+                    }
+                    delay(SILENCE_MILLIS)
+                    socket.getOutputStream().write(hello(to))
+                    val heartbeats = withContext(Dispatchers.IO) { readFrames(socket, READ_MILLIS).count { it is NodeFrame.Hello } }
+                    expectThat(heartbeats).isLessThanOrEqualTo(MAX_HEARTBEATS)
+                }
+            }
+        }
+    }
+
+    /** Frames that arrive on [socket] until none arrives for [quietMillis]. */
+    private fun readFrames(
+        socket: Socket,
+        quietMillis: Int,
+    ): List<NodeFrame> {
+        socket.soTimeout = quietMillis
+        val input = DataInputStream(socket.getInputStream())
+        val frames = ArrayList<NodeFrame>()
+        try {
+            while (true) {
+                val bytes = ByteArray(input.readInt()).also { input.readFully(it) }
+                frames += FrameCodec.cbor.decodeFromByteArray(NodeFrame.serializer(), bytes)
+            }
+        } catch (_: SocketTimeoutException) {
+            return frames
+        }
+    }
+
     @Test
     fun `dial again after a link is lost`() {
         val peer = Listener(0)
@@ -151,6 +197,16 @@
         const val SEND_PERIOD_MILLIS = 200L
         const val POLL_MILLIS = 10L
 
+        /** More than a window of bytes, so that the writer waits for the peer. */
+        const val WINDOW_FRAMES = 40
+
+        /** Shorter than the time without a frame after which the link is closed. */
+        const val SILENCE_MILLIS = 1_300L
+        const val READ_MILLIS = 300
+
+        /** The first frame, one heartbeat each 500 ms, and one more by the time that the frames are read. */
+        const val MAX_HEARTBEATS = 5
+
         /** About 700 KB in total: 15 s if each heartbeat opens only one window, far below 1 s at full speed. */
         const val FRAME_COUNT = 700
         const val WORKERS = 100
