--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -53,7 +53,7 @@
             record.stage = RunStage.STARTING
             workers.touch(record.worker)
             record.committedAt = now
-            if (record.worker.terminated) runs.markRunsLost(record.worker, now)
+            if (record.worker.terminated) runs.markRunsLost(record.worker, now, "worker ended before the start")
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -98,10 +98,11 @@
         }
     }
 
-    /** Proposes the committed runs on [worker] as lost; the worker is guaranteed to run nothing any more. */
+    /** Proposes the committed runs on [worker] as lost because of [cause]; the worker is guaranteed to run nothing any more. */
     fun markRunsLost(
         worker: WorkerRecord,
         now: Long,
+        cause: String,
     ) {
         val lost = worker.runs.values.filter { it.stage != RunStage.PROPOSED && !it.ending }
         if (lost.isEmpty()) return
@@ -111,7 +112,7 @@
             effects.logEvent(
                 DispatchEvent.RUN_LOST,
                 it.run.task.toString(),
-                "run=${it.run.number} worker=${worker.incarnation.id}",
+                "run=${it.run.number} worker=${worker.incarnation.id} cause=$cause stage=${it.stage}",
             )
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -24,7 +24,7 @@
         }
         if (worker.runs.values.any { it.stage != RunStage.PROPOSED && !it.ending } && leases.isExpired(worker, now)) {
             effects.logEvent(DispatchEvent.LEASE_WAITED_OUT, worker.incarnation.id, "runs=${worker.runs.size}")
-            runs.markRunsLost(worker, now)
+            runs.markRunsLost(worker, now, "lease expired")
         }
         val address = worker.report?.address ?: return
         if (worker.fenced) sendRunCalls(worker, address, now)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -239,7 +239,7 @@
             effects.logEvent(
                 DispatchEvent.RUN_LOST,
                 it.run.task.toString(),
-                "run=${it.run.number} worker=${worker.incarnation.id} not listed",
+                "run=${it.run.number} worker=${worker.incarnation.id} cause=not listed stage=${it.stage}",
             )
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -105,7 +105,7 @@
         if (worker.terminated) return
         worker.terminated = true
         effects.logEvent(DispatchEvent.WORKER_OVER, worker.incarnation.id, reason)
-        runs.markRunsLost(worker, now)
+        runs.markRunsLost(worker, now, reason)
     }
 
     /** Records that [worker] has seen this leader's fencing token. */
