Give up a task after a few crashes of its workers, and keep its starts apart from those of others

Cause: a run that ends with its worker was LOST in the replicated log, and only FAILED runs were counted. Nothing told a crash from a cut or a leave, nor the run that causes a crash from those that it takes along. Change: the leader derives from what a worker had confirmed which runs may have crashed it (CrashAnalyzer), the log carries that with the ends (Ended.crash), and each task keeps a replicated count (CrashRecord): two crashes right after its start, one of them without a start of another job beside it, or five of any kind, fail its job. A suspect starts only where no other job has just started a run, and the other way round (StartIsolation), so that the second crash names it. A crash that is recognised only after the leases have run out counts too; a leave, a drain and a partition do not, and a lasting run that was older than 10 s is not blamed.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -2,6 +2,7 @@
 
 import rhubarbknot.flow.model.RunEnd
 import rhubarbknot.flow.model.RunOutcome
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.state.Assignment
 import rhubarbknot.flow.state.FlowCommand
@@ -31,6 +32,7 @@
             is FlowCommand.Assign -> handleAssigned(command, (outcome as FlowOutcome.Assigned).runs, now)
             is FlowCommand.Ended -> {
                 command.ends.forEach { handleRunEnd(it, now) }
+                command.crash?.let { handleCrash(it) }
                 command.worker?.let { acknowledgeEnds(it, command.upTo, now) }
             }
             is FlowCommand.Cancel -> runs.stopJobRuns(command.job)
@@ -77,14 +79,26 @@
         }
         val job = state.job(end.run.task.job) ?: return
         if (job.phase.isFinal) {
-            logJobFinished(job)
-            runs.stopJobRuns(job.id)
-            failures.removeJob(job.id)
+            endFinishedJob(job)
         } else if (job.request.steps[end.run.task.step].gang) {
             runs.stopGang(end.run, onlyUnstarted = end.ending == RunOutcome.DONE)
         }
     }
 
+    private fun handleCrash(crash: WorkerCrash) =
+        crash.runs
+            .map { it.task.job }
+            .distinct()
+            .mapNotNull { state.job(it) }
+            .filter { it.phase.isFinal }
+            .forEach { endFinishedJob(it) }
+
+    private fun endFinishedJob(job: Job) {
+        logJobFinished(job)
+        runs.stopJobRuns(job.id)
+        failures.removeJob(job.id)
+    }
+
     private fun logJobFinished(job: Job) {
         if (!loggedJobs.add(job.id)) return
         if (loggedJobs.size > MAX_LOGGED_JOBS) loggedJobs.remove(loggedJobs.first())
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
@@ -42,6 +42,7 @@
     WORKER_REGAINED,
     WORKER_DISTRUSTED,
     WORKER_OVER,
+    WORKER_CRASHED,
     LEASE_WAITED_OUT,
     FENCED_OUT,
     JOB_OVER,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
@@ -16,6 +16,7 @@
  * @property distrustMillis how long a worker whose runs fail gets no new runs.
  * @property stallMillis minimum time without progress after which a run counts as stalled and its worker is distrusted.
  * @property slowDistrustMillis how long a slow or stalled worker gets no new runs after each such observation.
+ * @property startSurvivalMillis how long a worker must have run since the start of a run to show that the start did not crash it.
  * @property maxRerunMillis a stalled run without checkpoints is restarted elsewhere if its expected duration is at
  * most this long.
  */
@@ -32,5 +33,6 @@
     val distrustMillis: Long = 4_000,
     val stallMillis: Long = 1_500,
     val slowDistrustMillis: Long = 1_500,
+    val startSurvivalMillis: Long = 500,
     val maxRerunMillis: Long = 3_000,
 )
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
@@ -12,6 +12,9 @@
     private val startsLeft = HashMap<WorkerRecord, Int>()
     private var hasReservation = false
 
+    /** Which starts must not share a worker. */
+    val isolation = StartIsolation()
+
     /** CPU that may still be reserved for gangs, in thousandths of a core. */
     private var reservableMilliCpus = workers.sumOf { it.capacity.milliCpus.toLong() } * MAX_RESERVED_PERCENT / WHOLE_PERCENT
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -71,6 +71,7 @@
             WaitReason.NO_ROOM, WaitReason.NO_ELIGIBLE_ROOM, WaitReason.ELIGIBILITY_ASKED -> placer.reserve(step, configuration, free)
             WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, configuration)
             WaitReason.GANG_STILL_ENDING, WaitReason.NO_ABLE_WORKER -> Unit
+            WaitReason.START_ISOLATED -> placer.reserve(step, configuration, free)
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -19,7 +19,11 @@
     INHERITED,
 }
 
-/** The leader's record of a run that may exist on a worker. */
+/**
+ * The leader's record of a run that may exist on a worker.
+ *
+ * @property isSuspect whether its task may crash the worker.
+ */
 internal class RunRecord(
     val run: RunId,
     val team: String,
@@ -29,6 +33,7 @@
     var stage: RunStage,
     val ticket: Ticket?,
     val proposedAt: Long,
+    val isSuspect: Boolean = false,
 ) {
     /** The worker that may run it. */
     var worker = worker
@@ -51,6 +56,18 @@
     var stoppedAt = Long.MAX_VALUE
     var checkpoint = ""
 
+    /** Whether the worker has run for long enough since the start that the start did not crash it. */
+    var survivedStart = false
+
+    /** Whether a start was or may have been executed. */
+    val mayBePresent: Boolean
+        get() =
+            when (stage) {
+                RunStage.PROPOSED -> false
+                RunStage.STARTING -> startUncertain || callInFlight
+                RunStage.RUNNING, RunStage.INHERITED -> true
+            }
+
     /** Progress that the worker reports for the run. */
     val progress = RunProgress()
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -4,6 +4,7 @@
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.model.TaskId
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
 
@@ -42,7 +43,8 @@
     ) {
         val job = state.job(run.task.job) ?: return
         val step = job.request.steps[run.task.step]
-        val record = RunRecord(run, job.request.team, job.request.queue, step, worker, stage, ticket, proposedAt)
+        val isSuspect = job.steps[run.task.step].isCrashSuspect
+        val record = RunRecord(run, job.request.team, job.request.queue, step, worker, stage, ticket, proposedAt, isSuspect)
         byTask.put(run.task, record)?.let { changeCount(it, -1) }
         changeCount(record, 1)
         byJob.getOrPut(job.id) { LinkedHashSet() }.add(record)
@@ -98,16 +100,20 @@
         }
     }
 
-    /** Proposes the committed runs on [worker] as lost because of [cause]; the worker is guaranteed to run nothing any more. */
+    /**
+     * Proposes the committed runs on [worker] as lost because of [cause], with the [crash] of the worker, if any; the worker is
+     * guaranteed to run nothing any more.
+     */
     fun markRunsLost(
         worker: WorkerRecord,
         now: Long,
         cause: String,
+        crash: WorkerCrash? = null,
     ) {
         val lost = worker.runs.values.filter { it.stage != RunStage.PROPOSED && !it.ending }
-        if (lost.isEmpty()) return
+        if (lost.isEmpty() && crash == null) return
         lost.forEach { it.ending = true }
-        effects.propose(FlowCommand.Ended(lost.map { RunEnd(it.run, RunOutcome.LOST, it.checkpoint) }, now))
+        effects.propose(FlowCommand.Ended(lost.map { RunEnd(it.run, RunOutcome.LOST, it.checkpoint) }, now, crash = crash))
         lost.forEach {
             effects.logEvent(
                 DispatchEvent.RUN_LOST,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -21,6 +21,9 @@
     /** The eligible workers have too few free resources. */
     NO_ELIGIBLE_ROOM,
     NO_ROOM,
+
+    /** A task may crash its workers, and other jobs have just started runs on the workers with room, or the other way round. */
+    START_ISOLATED,
 }
 
 /** Result of placing a step. */
@@ -196,7 +199,8 @@
         now: Long,
     ): PlacementResult {
         val spec = step.spec
-        val taskSlots = TaskSlots(step, preferSingleRack(step, eligibleWorkers, free), free, runs)
+        val startable = eligibleWorkers.filter { free.isolation.allows(it, step) }
+        val taskSlots = TaskSlots(step, preferSingleRack(step, startable, free), free, runs)
         val planned = ArrayList<PlannedRun>()
         var teamUsage = usage.of(step.team)
         val gangRun = if (spec.gang) step.tasks.maxOf { it.run } + 1 else 0
@@ -212,12 +216,25 @@
         return if (planned.isEmpty() ||
             (spec.gang && planned.size < spec.count)
         ) {
-            PlacementResult.NotPlaced(WaitReason.NO_ROOM)
+            PlacementResult.NotPlaced(reasonNotPlaced(step, eligibleWorkers - startable.toSet(), free))
         } else {
+            planned.forEach { free.isolation.place(it.worker, step) }
             PlacementResult.Placed(planned)
         }
     }
 
+    /** Why [step] was not placed, if [isolated] are the workers that only the isolation of starts ruled out. */
+    private fun reasonNotPlaced(
+        step: WaitingStep,
+        isolated: List<WorkerRecord>,
+        free: FreeCapacity,
+    ): WaitReason {
+        val withCapacity = isolated.filter { step.spec.demand.fitsIn(free.of(it)) }
+        if (withCapacity.isEmpty()) return WaitReason.NO_ROOM
+        if (step.isSuspect) free.isolation.hold(withCapacity, step, if (step.spec.gang) step.spec.count else 1)
+        return WaitReason.START_ISOLATED
+    }
+
     private fun fitsCeiling(
         usage: Resources,
         ceiling: Resources,
@@ -259,8 +276,15 @@
         /** Takes a slot on the best worker for one more task; null when there is none. */
         fun takeBest(): WorkerRecord? {
             val best =
-                remaining.keys.minWithOrNull(compareBy({ !isNearData(it) }, { remaining.getValue(it).milliCpus }, { it.incarnation.id }))
-                    ?: return null
+                remaining.keys.minWithOrNull(
+                    // A crash ends all runs of a worker, so a suspect starts where the fewest run.
+                    compareBy(
+                        { if (step.isSuspect) it.runs.size else 0 },
+                        { !isNearData(it) },
+                        { remaining.getValue(it).milliCpus },
+                        { it.incarnation.id },
+                    ),
+                ) ?: return null
             val remainingHere = remaining.getValue(best) - demand
             val allowedStarts = allowed.getValue(best) - 1
             if (allowedStarts > 0 && demand.fitsIn(remainingHere)) {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -29,9 +29,15 @@
     val spec: StepSpec get() = job.request.steps[index]
     val tasks: List<Task> get() = job.steps[index].tasks
 
+    /** Whether the step's starts are kept apart from those of other jobs, since a task may crash its workers. */
+    val isSuspect: Boolean = job.steps[index].isCrashSuspect
+
     /** Highest number of failures among the waiting tasks; 0 for a lasting step, whose attempts are not limited. */
     val failures: Int = if (spec.lasting) 0 else waiting.maxOf { tasks[it].failures }
 
+    /** Highest number of workers that crashed under one of its tasks. */
+    val crashes: Int = job.steps[index].crashes
+
     fun taskId(task: Int): TaskId = TaskId(job.id, 0, index, task)
 }
 
@@ -113,6 +119,7 @@
                 { it.queue.priority },
                 { it.tier },
                 { it.failures },
+                { it.crashes },
                 { it.latestStart },
             )
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -24,6 +24,7 @@
         }
         if (worker.runs.values.any { it.stage != RunStage.PROPOSED && !it.ending } && leases.isExpired(worker, now)) {
             effects.logEvent(DispatchEvent.LEASE_WAITED_OUT, worker.incarnation.id, "runs=${worker.runs.size}")
+            worker.suspectedCrash = CrashAnalyzer.crashOf(worker, now)
             runs.markRunsLost(worker, now, "lease expired")
         }
         val address = worker.report?.address ?: return
@@ -94,7 +95,7 @@
         if (worker.fenced && worker.lastProposedEnd > worker.lastCommittedEnd) return
         if (worker.fenced && !hasCommittedRuns && !hasUnacknowledgedEnds && !mayBeReachable(worker, now)) return
         worker.renewInFlight = true
-        val waitMillis = if (worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns) settings.renewWaitMillis else 0
+        val waitMillis = if (worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns) renewWaitMillis(worker) else 0
         val deadline = if (hasCommittedRuns) leases.grant(worker, now) else null
         val lastSeen = if (isConfirmedIncarnation(worker, now)) worker.lastCommittedEnd else 0
         effects.call(
@@ -103,6 +104,17 @@
         )
     }
 
+    /** No other job may start a run on the worker until it has survived the start of a suspect, so the answer is wanted soon. */
+    private fun renewWaitMillis(worker: WorkerRecord): Long =
+        if (worker.starting.any { it.isSuspect }) {
+            minOf(
+                settings.startSurvivalMillis,
+                settings.renewWaitMillis,
+            )
+        } else {
+            settings.renewWaitMillis
+        }
+
     /**
      * Whether [worker] has listed its runs so recently that it cannot have restarted since. A restarted worker numbers its
      * ends from the start again, so an acknowledgement for its earlier incarnation would discard ends that were never seen.
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -2,6 +2,7 @@
 
 import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.model.TaskId
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.model.WorkerReport
 
@@ -17,6 +18,13 @@
     val runs = LinkedHashMap<TaskId, RunRecord>()
     var used = Resources.NONE
         private set
+    private val startingRuns = LinkedHashSet<RunRecord>()
+
+    /** Runs whose start the worker has not yet survived. */
+    val starting: Collection<RunRecord> get() = startingRuns
+
+    /** The runs that ended when their leases expired, in case the silent worker had crashed. */
+    var suspectedCrash: WorkerCrash? = null
 
     /** Whether the worker has seen this leader's fencing token and so rejects calls of earlier leaders. */
     var fenced = false
@@ -54,15 +62,23 @@
 
     fun add(run: RunRecord) {
         runs[run.run.task] = run
+        if (!run.survivedStart) startingRuns += run
         used += run.demand
     }
 
     fun remove(run: RunRecord) {
         if (runs[run.run.task] !== run) return
         runs.remove(run.run.task)
+        startingRuns -= run
         used -= run.demand
     }
 
+    /** Records that the worker has survived the start of [run]. */
+    fun markSurvived(run: RunRecord) {
+        run.survivedStart = true
+        startingRuns -= run
+    }
+
     fun readClock(
         reading: Long,
         now: Long,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -167,6 +167,7 @@
             return
         }
         worker.runsListedAt = now
+        worker.suspectedCrash = null
         if (!worker.fenced) {
             workers.markFenced(worker)
             val counts = "running=${reply.running.size} ended=${reply.ended.size}"
@@ -207,6 +208,7 @@
             record.startUncertain = false
             record.confirmedAt = minOf(record.confirmedAt, now)
         }
+        if (!record.survivedStart && now - record.confirmedAt >= settings.startSurvivalMillis) record.worker.markSurvived(record)
     }
 
     private fun handleEnds(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -1,7 +1,9 @@
 package rhubarbknot.flow.dispatch
 
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.model.WorkerReport
+import rhubarbknot.flow.state.FlowCommand
 
 /** Tracks known workers with one record per incarnation, and decides which of them may get runs. */
 internal class WorkerTracker(
@@ -57,6 +59,7 @@
         if (predecessor.terminated) return
         predecessor.terminated = true
         effects.logEvent(DispatchEvent.WORKER_OVER, predecessor.incarnation.id, "restarted under the same id runs=${predecessor.runs.size}")
+        crashOf(predecessor, now)?.let { effects.propose(FlowCommand.Ended(emptyList(), now, crash = it)) }
         runs.moveRuns(getOrAdd(incarnation, now), predecessor)
     }
 
@@ -105,7 +108,17 @@
         if (worker.terminated) return
         worker.terminated = true
         effects.logEvent(DispatchEvent.WORKER_OVER, worker.incarnation.id, reason)
-        runs.markRunsLost(worker, now, reason)
+        runs.markRunsLost(worker, now, reason, crashOf(worker, now))
+    }
+
+    private fun crashOf(
+        worker: WorkerRecord,
+        now: Long,
+    ): WorkerCrash? {
+        val crash = CrashAnalyzer.crashOf(worker, now) ?: return null
+        val starting = "starting=${crash.starting.map { it.task }} unconfirmed=${crash.unconfirmed.map { it.task }}"
+        effects.logEvent(DispatchEvent.WORKER_CRASHED, worker.incarnation.id, "$starting running=${crash.running.size}")
+        return crash
     }
 
     /** Records that [worker] has seen this leader's fencing token. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
@@ -6,6 +6,7 @@
 import rhubarbknot.flow.model.JobRequest
 import rhubarbknot.flow.model.RunEnd
 import rhubarbknot.flow.model.RunId
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 
 /** Command in the replicated log. Times are Unix milliseconds by the clock of the leader that proposed the command. */
@@ -50,6 +51,7 @@
      * Records the end of runs.
      *
      * @property worker worker that reported the ends, if any; with this command all its ends up to number [upTo] are in the log.
+     * @property crash crash of a worker that ended runs, if any; it may have ended them before this command.
      */
     @Serializable
     @SerialName("ended")
@@ -58,6 +60,7 @@
         val atMillis: Long,
         val worker: WorkerIncarnation? = null,
         val upTo: Long = 0,
+        val crash: WorkerCrash? = null,
     ) : FlowCommand
 }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -6,6 +6,7 @@
 import rhubarbknot.flow.model.RunEnd
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.model.TaskId
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import java.util.TreeMap
 import java.util.TreeSet
@@ -74,6 +75,7 @@
             is FlowCommand.Cancel -> cancel(command)
             is FlowCommand.Assign -> FlowOutcome.Assigned(command.runs.filter { assign(it) })
             is FlowCommand.Ended -> {
+                command.crash?.let { recordCrash(it, command.atMillis) }
                 command.ends.forEach { applyRunEnd(it, command.atMillis) }
                 FlowOutcome.Applied
             }
@@ -223,6 +225,18 @@
         if (failures >= attemptLimit && !job.phase.isFinal && !spec.lasting && !failedTask.done) finish(job, JobPhase.FAILED, atMillis)
     }
 
+    private fun recordCrash(
+        crash: WorkerCrash,
+        atMillis: Long,
+    ) = crash.runs.forEach { run ->
+        val job = jobs[run.task.job]
+        val task = job?.task(run.task)
+        if (job == null || task == null || task.done || job.phase.isFinal) return@forEach
+        val record = task.crashRecord ?: CrashRecord().also { task.crashRecord = it }
+        record.add(crash, run)
+        if (record.isOverLimit) finish(job, JobPhase.FAILED, atMillis)
+    }
+
     /** Encodes the whole state for [restore]. */
     fun snapshot(): ByteArray = Codec.encode(Image.serializer(), Image(configuration, drained.toList(), jobs.values.toList()))
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -25,6 +25,7 @@
  * @property worker worker on which the latest run may exist; null once that run is known to have ended.
  * @property failures number of failed runs; the members of a gang share one count.
  * @property failedRun number of the latest run that was counted as failed.
+ * @property crashRecord crashes of workers that ran the task; null for none.
  */
 @Serializable
 class Task(
@@ -34,6 +35,7 @@
     var failures: Int = 0,
     var failedRun: Int = 0,
     var checkpoint: String = "",
+    var crashRecord: CrashRecord? = null,
 )
 
 /** State of one step of a job and its tasks. */
@@ -43,6 +45,12 @@
     var left: Int = tasks.size,
 ) {
     val isDone: Boolean get() = left == 0
+
+    /** Whether a task that is not done may crash the workers that start it. */
+    val isCrashSuspect: Boolean get() = tasks.any { !it.done && it.crashRecord?.isSuspect == true }
+
+    /** Highest number of workers that crashed under one task that is not done. */
+    val crashes: Int get() = tasks.maxOf { if (it.done) 0 else it.crashRecord?.crashes ?: 0 }
 }
 
 /**
