Check a start against the room of its worker when it is sent

A worker whose room shrank between the placement of a run and its start, or between a start without an answer and its repetition, was brought over its room (LIMIT), since workers need not check it. Cause: the room was read when a run was placed, and trusted until the start and each repetition of it. Change: RoomGuard checks each start when it is sent. What may run counts, also what is being stopped. A start that does not fit any more is withdrawn if it was never sent; of those without an answer the latest are stopped, and the others are repeated once the stops are done. On a report that is older than the time for which it counts, nothing is sent again. A changed room leads to a new plan at once. Two tests of ShrinkingRoomSpec failed before (4 starts in place of 2).

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -12,6 +12,8 @@
     private val leases: LeaseManager,
     private val effects: EffectBuffer,
 ) {
+    private val roomGuard = RoomGuard(settings)
+
     /** Sends the calls that are due for [worker] at [now]. */
     fun sendDueCalls(
         worker: WorkerRecord,
@@ -74,6 +76,7 @@
             runs.rejectRun(run, now)
             return
         }
+        if (!mayStartNow(run, worker, now)) return
         val checkpoint = job.task(run.run.task)?.checkpoint.orEmpty()
         run.callInFlight = true
         val deadline = leases.grant(worker, now)
@@ -83,6 +86,27 @@
         )
     }
 
+    /** Whether the room of [worker] still allows the start of [run]; withdraws the run if it never will. */
+    private fun mayStartNow(
+        run: RunRecord,
+        worker: WorkerRecord,
+        now: Long,
+    ): Boolean {
+        val verdict = roomGuard.check(run, worker, now)
+        when (verdict) {
+            RoomGuard.Verdict.SEND -> Unit
+            RoomGuard.Verdict.WAIT -> run.retryAt = now + settings.retryMillis
+            RoomGuard.Verdict.WITHDRAW -> {
+                val detail = "run=${run.run.number} worker=${worker.incarnation.id} reason=room shrank or is unknown"
+                effects.logEvent(DispatchEvent.RUN_REFUSED, run.run.task.toString(), detail)
+                // A copy of this start may still be in flight; only a stop guarantees that it has no effect.
+                if (run.startUncertain) run.stopWanted = true else runs.rejectRun(run, now)
+                workers.touch(worker)
+            }
+        }
+        return verdict == RoomGuard.Verdict.SEND
+    }
+
     private fun sendRenewal(
         worker: WorkerRecord,
         address: String,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -79,7 +79,7 @@
         predecessors.forEach { replaceIncarnation(it, report.life, now) }
         val previous = record.report
         if (previous != null && !report.isNewerThan(previous)) return
-        if (previous == null || previous.draining != report.draining) changes++
+        if (previous == null || previous.draining != report.draining || previous.room != report.room) changes++
         if (previous != null && previous.address != report.address) byAddress[previous.address]?.remove(record)
         byAddress.getOrPut(report.address) { LinkedHashSet() }.add(record)
         record.report = report
