Avoid a worker on which a step failed for 2 s only

What callers saw: a gang whose tasks must lie on different workers never ran again after one of them had failed, though all workers were idle: accepted, and not done (LOST). Cause: workers on which a step had failed were left out for as long as any other worker remained, also when the others could not hold the step. Change: a failure counts for 2 s. A worker that fails all its runs is held back by its own record, as before. Test: DispatcherSpec "starts a gang again on the worker on which it failed when the others can not hold it", which failed before.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -126,7 +126,7 @@
                 }
             }
             RunOutcome.FAILED -> {
-                failures.record(end.run.task, worker.incarnation)
+                failures.record(end.run.task, worker.incarnation, now)
                 if (worker.trust.recordFailure(end.run.task.job, now + settings.distrustMillis)) {
                     effects.logEvent(
                         DispatchEvent.WORKER_DISTRUSTED,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -50,7 +50,7 @@
                 }
                 is PlacementResult.NotPlaced -> {
                     logWaitReason(step, result.reason, now)
-                    if (step.spec.gang) reserveForGang(step, result.reason, configuration, free)
+                    if (step.spec.gang) reserveForGang(step, result.reason, configuration, free, now)
                 }
             }
         }
@@ -66,12 +66,13 @@
         reason: WaitReason,
         configuration: Configuration,
         free: FreeCapacity,
+        now: Long,
     ) {
         when (reason) {
-            WaitReason.NO_ROOM, WaitReason.NO_ELIGIBLE_ROOM, WaitReason.ELIGIBILITY_ASKED -> placer.reserve(step, configuration, free)
+            WaitReason.NO_ROOM, WaitReason.NO_ELIGIBLE_ROOM, WaitReason.ELIGIBILITY_ASKED, WaitReason.START_ISOLATED ->
+                placer.reserve(step, configuration, free, now)
             WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, configuration)
             WaitReason.GANG_STILL_ENDING, WaitReason.NO_ABLE_WORKER -> Unit
-            WaitReason.START_ISOLATED -> placer.reserve(step, configuration, free)
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -60,7 +60,7 @@
         val ceiling = ceilingOf(step, configuration)
         val minDemand = if (spec.gang) spec.demand * spec.count else spec.demand
         if (!fitsCeiling(usage.of(step.team) + minDemand, ceiling)) return PlacementResult.NotPlaced(WaitReason.TEAM_AT_CEILING)
-        val candidates = findCandidates(step, free)
+        val candidates = findCandidates(step, free, now)
         if (candidates.isEmpty()) return PlacementResult.NotPlaced(WaitReason.NO_ABLE_WORKER)
         if (step.queue.eligibility == null) return assignTasks(step, candidates, free, ceiling, null, runs, now)
         val ticketLookup = lookUpTickets(step, candidates, free, now)
@@ -77,10 +77,11 @@
         step: WaitingStep,
         configuration: Configuration,
         free: FreeCapacity,
+        now: Long,
     ) {
         val spec = step.spec
         if (!fitsCeiling(usage.of(step.team) + spec.demand * spec.count, ceilingOf(step, configuration))) return
-        val candidates = findCandidates(step, free)
+        val candidates = findCandidates(step, free, now)
         val allowed =
             if (step.queue.eligibility ==
                 null
@@ -106,14 +107,15 @@
         configuration: Configuration,
     ): Resources = configuration.team(step.team)?.ceiling ?: Resources.NONE
 
-    /** Workers with the required label, without those on which the step failed unless no others remain. */
+    /** Workers with the required label, without those on which the step failed shortly before unless no others remain. */
     private fun findCandidates(
         step: WaitingStep,
         free: FreeCapacity,
+        now: Long,
     ): List<WorkerRecord> {
         val label = step.spec.label
         val labelled = if (label.isEmpty()) free.workers else free.workers.filter { label in it.report?.labels.orEmpty() }
-        val failed = failures.of(step.key)
+        val failed = failures.of(step.key, now)
         if (failed.isEmpty()) return labelled
         return labelled.filter { it.incarnation !in failed }.ifEmpty { labelled }
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -15,6 +15,7 @@
 import rhubarbknot.flow.dispatch.RunningRun
 import rhubarbknot.flow.dispatch.WorkerCall
 import rhubarbknot.flow.dispatch.WorkerReply
+import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
 import rhubarbknot.flow.state.JobPhase
@@ -122,6 +123,24 @@
         expectThat(started.map { it.run.number }.toSet()).isEqualTo(setOf(1))
     }
 
+    @Test
+    fun `starts a gang again on the worker on which it failed when the others can not hold it`() {
+        registerWorkers("w1", "w2", "w3")
+        submit("g", step(3, gang = true, spreadLimit = 1))
+        val started = startCalls(dispatchAll())
+        expectThat(started).hasSize(3)
+        started.forEach { start ->
+            reply(start, WorkerReply.Done(now))
+            val outcome = if (start.run.task.index == 0) RunOutcome.FAILED else RunOutcome.GANG_BROKEN
+            val renewal = WorkerCall.Renew(start.worker, start.address, 1, 0, null, 0)
+            reply(renewal, runsReply(ended = listOf(NumberedRunEnd(1, FlowFixture.end(start.run, outcome)))))
+        }
+        dispatchAll()
+        now += 3_000
+        listOf("w1", "w2", "w3").forEach { dispatcher.workerReported(report(it, clockMillis = now, sequence = 2), now) }
+        expectThat(startCalls(dispatchAll()).map { it.run.number }).isEqualTo(listOf(2, 2, 2))
+    }
+
     @Test
     fun `starts no run on draining or leaving workers or in a drained zone`() {
         registerWorkers("w1", "w2", "w3")
