End the isolation of a start with any response of the worker, and extend the simulation by crashing tasks

Cause: a suspect's start kept others from its worker until the worker had listed its runs 0.5 s later, which on a busy worker took up to 1.5 s, and every suspect that waited held a worker. Change: any response 250 ms after the start shows that the worker survived it, and one step at a time holds workers.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
@@ -33,6 +33,6 @@
     val distrustMillis: Long = 4_000,
     val stallMillis: Long = 1_500,
     val slowDistrustMillis: Long = 1_500,
-    val startSurvivalMillis: Long = 500,
+    val startSurvivalMillis: Long = 250,
     val maxRerunMillis: Long = 3_000,
 )
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
@@ -33,14 +33,17 @@
         planned.getOrPut(worker) { ArrayList() } += Planned(step.job.id, step.isSuspect)
     }
 
-    /** Keeps other jobs from starting runs on [count] of [candidates], so that [step] can start there soon. */
+    /**
+     * Keeps other jobs from starting runs on [count] of [candidates], so that [step] can start there soon. Only one step holds
+     * workers in a plan, since they take no other starts meanwhile.
+     */
     fun hold(
         candidates: List<WorkerRecord>,
         step: WaitingStep,
         count: Int,
     ) {
+        if (heldFor.isNotEmpty()) return
         candidates
-            .filter { it !in heldFor }
             .sortedBy { worker -> worker.starting.maxOfOrNull { it.proposedAt } ?: 0 }
             .take(count)
             .forEach { heldFor[it] = step.job.id }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -73,10 +73,13 @@
         used -= run.demand
     }
 
-    /** Records that the worker has survived the start of [run]. */
-    fun markSurvived(run: RunRecord) {
-        run.survivedStart = true
-        startingRuns -= run
+    /** Records that the worker, which has just responded, has survived the starts that it confirmed by [confirmedUntil]. */
+    fun markSurvivedStarts(confirmedUntil: Long) {
+        if (startingRuns.isEmpty()) return
+        startingRuns.filter { it.confirmedAt <= confirmedUntil }.forEach {
+            it.survivedStart = true
+            startingRuns -= it
+        }
     }
 
     fun readClock(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -57,6 +57,7 @@
         }
         if (refusal == RefusalReason.FENCED) effects.logEvent(DispatchEvent.FENCED_OUT, worker.incarnation.id, "term=$term")
         if (clock != null) worker.readClock(clock, now)
+        worker.markSurvivedStarts(now - settings.startSurvivalMillis)
     }
 
     private fun recordUnansweredCall(worker: WorkerRecord) {
@@ -208,7 +209,6 @@
             record.startUncertain = false
             record.confirmedAt = minOf(record.confirmedAt, now)
         }
-        if (!record.survivedStart && now - record.confirmedAt >= settings.startSurvivalMillis) record.worker.markSurvived(record)
     }
 
     private fun handleEnds(
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/FaultInjector.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/FaultInjector.kt
@@ -1,8 +1,12 @@
 package rhubarbknot.flow.world
 
-/** Injects random faults into a [SimulatedCluster]: into nodes, links, disks, workers and calls, often several at once. */
+/**
+ * Injects random faults into a [SimulatedCluster]: into nodes, links, disks, workers and calls, often several at once. With
+ * [changesWorkers], workers also change their ids when they restart, and their rooms.
+ */
 internal class FaultInjector(
     private val cluster: SimulatedCluster,
+    private val changesWorkers: Boolean,
 ) {
     private val random = cluster.random
     private var lastWipeAt = 0L
@@ -10,7 +14,7 @@
     fun injectFault() {
         val control = cluster.controls[random.nextInt(cluster.controls.size)]
         val durationMillis = random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS)
-        when (random.nextInt(FAULT_KINDS)) {
+        when (random.nextInt(if (changesWorkers) FAULT_KINDS + 1 else FAULT_KINDS)) {
             0 -> killAndRestart(control, durationMillis, losesPower = false)
             1 -> killAndRestart(control, durationMillis, losesPower = true)
             2 -> cluster.controls.forEach { killAndRestart(it, durationMillis, losesPower = random.nextBoolean()) }
@@ -19,10 +23,17 @@
             5 -> isolate(control, durationMillis, oneWay = true)
             6 -> wipe(control, durationMillis)
             7 -> killAndRestart(cluster.gateways[random.nextInt(cluster.gateways.size)], durationMillis, losesPower = false)
-            8 -> cluster.restart(cluster.workers[random.nextInt(cluster.workers.size)], durationMillis)
+            8 ->
+                cluster.restart(
+                    cluster.workers[random.nextInt(cluster.workers.size)],
+                    durationMillis,
+                    changesId =
+                        changesWorkers && random.nextBoolean(),
+                )
             9 -> loseCalls(durationMillis)
             10 -> cluster.workers[random.nextInt(cluster.workers.size)].stalledUntil = cluster.now + durationMillis
-            else -> failAllRuns(durationMillis)
+            11 -> failAllRuns(durationMillis)
+            else -> shrinkRoom(durationMillis)
         }
     }
 
@@ -63,6 +74,12 @@
         cluster.after(durationMillis) { cluster.lostCallsPercent = 0 }
     }
 
+    private fun shrinkRoom(durationMillis: Long) {
+        val worker = cluster.workers[random.nextInt(cluster.workers.size)]
+        worker.setRoom(cluster.now, SimulatedWorker.CAPACITY.copy(milliCpus = 1_500 + random.nextInt(2_500)))
+        cluster.after(durationMillis) { worker.setRoom(cluster.now, SimulatedWorker.CAPACITY) }
+    }
+
     private fun failAllRuns(durationMillis: Long) {
         val worker = cluster.workers[random.nextInt(cluster.workers.size)]
         worker.failsAllRuns = true
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
@@ -17,6 +17,9 @@
     private val doneEnds = HashMap<TaskId, ArrayList<DoneEnd>>()
     private var used = Resources.NONE
     private val usedOn = HashMap<String, Resources>()
+    private val crashesUnder = HashMap<TaskId, Int>()
+    private val startsAfterThirdCrash = HashMap<TaskId, Int>()
+    private val crashingJobs = HashSet<String>()
 
     /** Violated invariants, with the time of each violation. */
     val violations = ArrayList<String>()
@@ -27,6 +30,24 @@
         requests[request.id] = request
     }
 
+    /** Lets the first task of job [id] crash each worker that starts it. */
+    fun addCrashingJob(id: String) {
+        crashingJobs += id
+    }
+
+    fun crashesWorkers(task: TaskId): Boolean = task.job in crashingJobs && task.step == 0 && task.index == 0
+
+    /** Whether job [id] can't be done. */
+    fun isCrashingJob(id: String): Boolean = id in crashingJobs
+
+    /** Records that a worker crashed while [task] ran there. */
+    fun workerCrashed(task: TaskId) {
+        crashesUnder.merge(task, 1, Int::plus)
+    }
+
+    /** Highest number of workers that crashed under one task of job [id]. */
+    fun crashesUnderJob(id: String): Int = crashesUnder.filterKeys { it.job == id }.values.maxOrNull() ?: 0
+
     fun runStarted(
         now: Long,
         run: RunId,
@@ -46,6 +67,14 @@
             if (end.isAcknowledged) violations += "$now DUPLICATE $run after ${end.run} was done" else end.laterStarts += "$now $run"
         }
         spec.after.filterNot { isStepDone(request, it) }.forEach { violations += "$now ORDER $run before step $it was done" }
+        if (crashesWorkers(task) && (crashesUnder[task] ?: 0) >= MAX_FREE_CRASHES) {
+            val startsSince = startsAfterThirdCrash.merge(task, 1, Int::plus) ?: 0
+            if (startsSince >=
+                MAX_FREE_CRASHES
+            ) {
+                violations += "$now BUDGET $run on $worker: start $startsSince after $MAX_FREE_CRASHES crashes"
+            }
+        }
         used += spec.demand
         usedOn.merge(worker, spec.demand, Resources::plus)
         if (!usedOn.getValue(worker).fitsIn(capacity)) violations += "$now LIMIT $run on $worker"
@@ -113,6 +142,11 @@
     /** Whether every task of job [id] ended as done on a worker. */
     fun isComplete(id: String): Boolean = requests[id]?.let { request -> request.steps.indices.all { isStepDone(request, it) } } ?: false
 
+    private companion object {
+        /** A task that crashes its workers must not be started this many times more after this many crashes. */
+        const val MAX_FREE_CRASHES = 3
+    }
+
     /** Whether any task of job [id] is running or was done. */
     fun hasRun(id: String): Boolean = done.any { it.job == id } || running.keys.any { it.job == id }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
@@ -14,10 +14,14 @@
 import rhubarbknot.flow.node.RequestTarget
 import rhubarbknot.flow.state.JobPhase
 
-/** Callers and operators of a [SimulatedCluster]. They retry at random nodes and record the answers. */
+/**
+ * Callers and operators of a [SimulatedCluster]. They retry at random nodes and record the answers. One job in
+ * [crashingJobPeriod] crashes the workers that start it; none if that is 0.
+ */
 internal class SimulatedCallers(
     private val cluster: SimulatedCluster,
     private val ceiling: Resources,
+    private val crashingJobPeriod: Int,
 ) {
     val accepted = LinkedHashSet<String>()
 
@@ -26,6 +30,10 @@
 
     /** Violated invariants that are visible in answers. */
     val violations = ArrayList<String>()
+
+    /** Number of jobs that could be done, but were failed after crashes of their workers. */
+    var failedSoundJobs = 0
+        private set
     private val refused = HashSet<String>()
     private val attempts = HashMap<String, Int>()
     private var jobCount = 0
@@ -95,6 +103,7 @@
                 )
             }
         val queue = if (random.nextBoolean()) "urgent" else "later"
+        if (crashingJobPeriod > 0 && random.nextInt(crashingJobPeriod) == 0) cluster.oracle.addCrashingJob(id)
         cluster.oracle.jobSubmitted(JobRequest(id, queue, "team", "payload", steps))
         val isSingleAttempt = random.nextInt(8) == 0
         submitJob(id, FlowRequest.Submit(RequestTarget("host", "/$queue/$id", "key"), "payload", steps), isSingleAttempt)
@@ -135,7 +144,14 @@
 
     /** Checks the invariants that hold once the cluster has recovered and all jobs had time to finish. */
     fun checkFinalState() {
-        accepted.filter { phases[it] != JobPhase.COMPLETED }.forEach { violations += "LOST $it is ${phases[it]}" }
+        val (crashing, sound) = accepted.partition { cluster.oracle.isCrashingJob(it) }
+        crashing.filter { phases[it] != JobPhase.FAILED }.forEach { violations += "LOST $it is ${phases[it]}, but crashes its workers" }
+        sound.filter { phases[it] != JobPhase.COMPLETED }.forEach { id ->
+            val crashes = cluster.oracle.crashesUnderJob(id)
+            if (phases[id] == JobPhase.FAILED) failedSoundJobs++
+            // A task under which two workers have crashed may be given up.
+            if (phases[id] != JobPhase.FAILED || crashes < 2) violations += "LOST $id is ${phases[id]} after $crashes crashes"
+        }
         refused.filter { cluster.oracle.hasRun(it) }.forEach { violations += "REFUSED $it has run" }
         cluster.controls.forEach { control ->
             cluster.ask(control, FlowRequest.ReadConfiguration) { answer ->
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
@@ -1,6 +1,7 @@
 package rhubarbknot.flow.world
 
 import rhubarbknot.core.model.Resources
+import rhubarbknot.flow.dispatch.DispatchSettings
 import rhubarbknot.flow.dispatch.EligibilityReply
 import rhubarbknot.flow.dispatch.WorkerCall
 import rhubarbknot.flow.dispatch.WorkerReply
@@ -42,6 +43,7 @@
 internal class SimulatedCluster(
     seed: Long,
     ceiling: Resources,
+    private val dispatch: DispatchSettings = DispatchSettings(),
 ) {
     private class ScheduledAction(
         val at: Long,
@@ -73,7 +75,12 @@
     init {
         nodes.forEach { start(it, isFirst = true) }
         every(LINK_MILLIS) { openLinks() }
-        every(WORKER_TICK_MILLIS) { workers.forEach { it.tick(now) } }
+        every(WORKER_TICK_MILLIS) {
+            workers.filter { !it.isDown }.forEach {
+                it.tick(now)
+                if (now >= it.crashAt) restart(it, random.nextLong(500, 4_000), changesId = random.nextBoolean())
+            }
+        }
         workers.forEach { worker ->
             every(
                 REPORT_MILLIS,
@@ -130,6 +137,7 @@
                     targetVoterCount = 3,
                     seed = random.nextLong(),
                     snapshotEvery = SNAPSHOT_EVERY,
+                    dispatch = dispatch,
                 )
             node.process = ControlNode(config, node.disk.recover(), now)
         } else {
@@ -316,7 +324,7 @@
         timeoutMillis: Long,
     ) {
         val sentAt = now
-        val worker = workers.first { it.id == call.worker.id }
+        val worker = workers.first { it.address == call.address }
         var answered = false
         val reply = { answer: WorkerReply ->
             if (!answered) {
@@ -333,7 +341,7 @@
                     if (call !is WorkerCall.Renew &&
                         worker.bornAt == bornAt
                     ) {
-                        worker.handle(call, now)
+                        worker.handle(call, now, isLate = true)
                     }
                 }
             }
@@ -346,16 +354,17 @@
         after(1) { serve(worker, worker.bornAt, call, now + ((call as? WorkerCall.Renew)?.waitMillis ?: 0), reply) }
     }
 
-    /** Ends the process of [worker] and starts a new incarnation with the same id after [millis]. */
+    /** Ends the process of [worker] and starts a new incarnation after [millis], with another id if [changesId]. */
     fun restart(
         worker: SimulatedWorker,
         millis: Long,
+        changesId: Boolean = false,
     ) {
         if (worker.isDown) return
         worker.restart(now)
         worker.isDown = true
         after(millis) {
-            worker.restart(now)
+            worker.restart(now, changesId)
             worker.isDown = false
         }
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
@@ -14,9 +14,12 @@
 import rhubarbknot.flow.model.WorkerReport
 import java.util.SplittableRandom
 
-/** A worker that enforces fencing tokens, run numbers and leases by its own slow clock. It does not check its capacity. */
+/**
+ * A worker that enforces fencing tokens, run numbers and leases by its own slow clock. It does not check its room, which may
+ * shrink and grow. It crashes shortly after it has started a task that crashes its workers.
+ */
 internal class SimulatedWorker(
-    val id: String,
+    private val name: String,
     private val oracle: Oracle,
     private val gangs: GangTracker,
     private val random: SplittableRandom,
@@ -37,6 +40,19 @@
     private var highestFencingToken = 0L
     private var leaseDeadline = 0L
     private var sequence = 0L
+    private var incarnationCount = 0
+
+    /** Rooms since the start of the process, with the time since which each of them is in force. */
+    private val rooms = ArrayList<Pair<Long, Resources>>()
+
+    /** Changes with an incarnation that has another id. */
+    var id = name
+        private set
+    val address get() = "10.9.0.1:$name"
+
+    /** When the process crashes because of a task that it has started. */
+    var crashAt = Long.MAX_VALUE
+        private set
 
     /** Whether the process is down. */
     var isDown = false
@@ -50,11 +66,34 @@
 
     private fun clock(now: Long): Long = ((now - bornAt) * clockRate).toLong()
 
-    fun report(now: Long) =
-        WorkerReport(incarnation, "pool", "10.9.0.1:$id", "z1", false, CAPACITY, emptyList(), "r1", clock(now), ++sequence)
+    fun report(now: Long) = WorkerReport(incarnation, "pool", address, "z1", false, room, emptyList(), "r1", clock(now), ++sequence)
+
+    private val room: Resources get() = rooms.lastOrNull()?.second ?: CAPACITY
 
-    /** Drops all runs and starts a new incarnation with the same id. */
-    fun restart(now: Long) {
+    /** Sets the room that the worker reports from [now] on. */
+    fun setRoom(
+        now: Long,
+        room: Resources,
+    ) {
+        rooms += now to room
+    }
+
+    /** The room that a start at [now] must respect: the largest of the rooms that were in force in the last [ROOM_GRACE_MILLIS]. */
+    private fun countedRoom(now: Long): Resources {
+        val current = rooms.indices.filter { i -> (rooms.getOrNull(i + 1)?.first ?: Long.MAX_VALUE) > now - ROOM_GRACE_MILLIS }
+        val counted =
+            current.map { rooms[it].second } + listOfNotNull(CAPACITY.takeIf { rooms.none { it.first <= now - ROOM_GRACE_MILLIS } })
+        return counted.maxBy { it.milliCpus }
+    }
+
+    /** Drops all runs and starts a new incarnation, with another id if [changesId]. */
+    fun restart(
+        now: Long,
+        changesId: Boolean = false,
+    ) {
+        if (changesId) id = "$name-${++incarnationCount}"
+        crashAt = Long.MAX_VALUE
+        running.values.forEach { oracle.workerCrashed(it.run.task) }
         running.values.toList().forEach {
             gangs.memberEnded(it.run, isDone = false)
             oracle.runEnded(it.run, id, RunOutcome.LOST)
@@ -108,17 +147,18 @@
 
     fun hasEndsAfter(seen: Long): Boolean = runEnds.any { it.number > seen }
 
-    /** Executes [call] at [now]. */
+    /** Executes [call] at [now]; [isLate] if that is long after it was sent. */
     fun handle(
         call: WorkerCall,
         now: Long,
+        isLate: Boolean = false,
     ): WorkerReply {
         tick(now)
         if (call.worker.id != id) return WorkerReply.Refused(RefusalReason.OTHER_LIFE, clock(now))
         if (call.fencingToken < highestFencingToken) return WorkerReply.Refused(RefusalReason.FENCED, clock(now))
         highestFencingToken = call.fencingToken
         return when (call) {
-            is WorkerCall.Start -> start(call, now)
+            is WorkerCall.Start -> start(call, now, isLate)
             is WorkerCall.Stop -> stop(call, now)
             is WorkerCall.Renew -> {
                 call.deadlineMillis?.let { leaseDeadline = maxOf(leaseDeadline, minOf(it, clock(now) + MAX_LEASE_MILLIS)) }
@@ -130,6 +170,7 @@
     private fun start(
         call: WorkerCall.Start,
         now: Long,
+        isLate: Boolean,
     ): WorkerReply {
         val task = call.run.task
         if (call.deadlineMillis < clock(now)) return WorkerReply.Refused(RefusalReason.LATE, clock(now))
@@ -139,7 +180,8 @@
         val gang = oracle.gangSize(task)
         if (gang > 0) gangs.memberStarted(call.run, gang, now)
         running[task] = Running(call.run, now, random.nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS), gang > 0)
-        oracle.runStarted(now, call.run, id, CAPACITY)
+        oracle.runStarted(now, call.run, id, if (isLate) CAPACITY else countedRoom(now))
+        if (oracle.crashesWorkers(task)) crashAt = minOf(crashAt, now + CRASH_DELAY_MILLIS)
         return WorkerReply.Done(clock(now))
     }
 
@@ -165,6 +207,10 @@
 
     companion object {
         val CAPACITY = Resources(milliCpus = 4_000, memoryMb = 4_000)
+        private const val CRASH_DELAY_MILLIS = 10L
+
+        /** Time that a leader has to respect a smaller room: the age at which it stops using a report, and the time of a call. */
+        private const val ROOM_GRACE_MILLIS = 3_700L
         private const val MAX_LEASE_MILLIS = 10_000L
         private const val GANG_WAIT_MILLIS = 3_000L
         private const val MAX_CLOCK_LAG_PERCENT = 3
