Log that a job was given up because its task crashed several workers

job_over of such a job carries a cause; before, it looked like a job whose attempts were used up. No decision changes. CrashingTaskSpec checks the cause.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -9,6 +9,7 @@
 import rhubarbknot.flow.state.FlowOutcome
 import rhubarbknot.flow.state.FlowState
 import rhubarbknot.flow.state.Job
+import rhubarbknot.flow.state.JobPhase
 
 /** Updates the run, worker and statistics records after a command of the replicated log has been applied. */
 internal class AppliedCommandHandler(
@@ -31,8 +32,8 @@
         when (command) {
             is FlowCommand.Assign -> handleAssigned(command, (outcome as FlowOutcome.Assigned).runs, now)
             is FlowCommand.Ended -> {
-                command.ends.forEach { handleRunEnd(it, now) }
                 command.crash?.let { handleCrash(it) }
+                command.ends.forEach { handleRunEnd(it, now) }
                 command.worker?.let { acknowledgeEnds(it, command.upTo, now) }
             }
             is FlowCommand.Cancel -> runs.stopJobRuns(command.job)
@@ -85,28 +86,35 @@
         }
     }
 
-    private fun handleCrash(crash: WorkerCrash) =
-        crash.runs
-            .map { it.task.job }
-            .distinct()
-            .mapNotNull { state.job(it) }
-            .filter { it.phase.isFinal }
-            .forEach { endFinishedJob(it) }
+    private fun handleCrash(crash: WorkerCrash) {
+        val jobs =
+            crash.runs
+                .map { it.task.job }
+                .distinct()
+                .mapNotNull { state.job(it) }
+        jobs.filter { it.phase == JobPhase.FAILED }.forEach { endFinishedJob(it, cause = " cause=its task crashed several workers") }
+    }
 
-    private fun endFinishedJob(job: Job) {
-        logJobFinished(job)
+    private fun endFinishedJob(
+        job: Job,
+        cause: String = "",
+    ) {
+        logJobFinished(job, cause)
         runs.stopJobRuns(job.id)
         failures.removeJob(job.id)
     }
 
-    private fun logJobFinished(job: Job) {
+    private fun logJobFinished(
+        job: Job,
+        cause: String,
+    ) {
         if (!loggedJobs.add(job.id)) return
         if (loggedJobs.size > MAX_LOGGED_JOBS) loggedJobs.remove(loggedJobs.first())
         val durationMillis = job.finishedAtMillis - job.acceptedAtMillis
         effects.logEvent(
             DispatchEvent.JOB_OVER,
             job.id,
-            "phase=${job.phase} queue=${job.request.queue} team=${job.request.team} took=${durationMillis}ms",
+            "phase=${job.phase} queue=${job.request.queue} team=${job.request.team} took=${durationMillis}ms$cause",
             durationMillis,
         )
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashingTaskSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashingTaskSpec.kt
@@ -4,11 +4,13 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import rhubarbknot.flow.FlowFixture.step
+import rhubarbknot.flow.dispatch.DispatchEvent
 import rhubarbknot.flow.model.StepSpec
 import rhubarbknot.flow.model.TaskId
 import rhubarbknot.flow.state.JobPhase
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
@@ -57,6 +59,8 @@
         expectWithinBudget()
         expectThat(bed.phase("bad")).isEqualTo(JobPhase.FAILED)
         expectThat(bed.crashesUnder.getValue(crashing)).isGreaterThanOrEqualTo(2)
+        val ended = bed.events.single { it.event == DispatchEvent.JOB_OVER }
+        expectThat(ended.detail).contains("cause=its task crashed several workers")
     }
 
     @Test
