Give up a task of a cell whose executors end again and again shortly after its start

An idempotent task that crashes its executor was requeued each time that the executor was lost or returned as another incarnation, without limit. Change: five executors in a row that end within 60 s of the start, and not by leaving, use up the task; its job ends as run and failed, with that reason. The count is part of the replicated retry, moves with the job to another zone, and starts anew after a longer attempt. Test: CellSpec, CrashLoops; the first of the three failed before (13 starts in place of 5).

--- a/core/src/main/kotlin/rhubarbknot/core/cell/AttemptTracker.kt
+++ b/core/src/main/kotlin/rhubarbknot/core/cell/AttemptTracker.kt
@@ -110,7 +110,7 @@
             val job = task.job
             jobs.add(job)
             lifecycle.release(task)
-            if (job.spec.idempotent) requeue(task) else markLost(task, executor)
+            if (job.spec.idempotent) requeueLost(task, executor) else markLost(task, executor)
         }
         releaseReservation(executor)
         index.quarantined.remove(executor)
@@ -126,8 +126,25 @@
         }
     }
 
-    private fun requeue(task: Task) {
-        task.job.requeue(Retry(task.index, task.number, task.failures))
+    private fun requeue(
+        task: Task,
+        executorLosses: Int = task.executorLosses,
+    ) {
+        task.job.requeue(Retry(task.index, task.number, task.failures, executorLosses))
+    }
+
+    /** Requeues [task], whose [executor] is gone, unless it seems to crash each executor that starts it. */
+    private fun requeueLost(
+        task: Task,
+        executor: Executor,
+    ) {
+        val isUnexpected = executor.status != ExecutorStatus.LEAVING && now - task.startedAt <= policy.crashWindowMillis
+        val losses = if (isUnexpected) task.executorLosses + 1 else 0
+        if (losses < policy.maxExecutorLosses) {
+            requeue(task, losses)
+        } else {
+            fail(task.job, "given up: $losses executors ended in a row shortly after it had started")
+        }
     }
 
     private fun handleNotStarted(task: Task) {
--- a/core/src/main/kotlin/rhubarbknot/core/cell/CellPolicy.kt
+++ b/core/src/main/kotlin/rhubarbknot/core/cell/CellPolicy.kt
@@ -33,6 +33,8 @@
  * @property backfillDepth maximum number of jobs at the head of a queue that are tried in one go, including those that do not fit.
  * @property reserveAfterMillis wait after which executors are reserved for a job that does not fit.
  * @property maxTries failed attempts of an idempotent task after which its failure is final.
+ * @property maxExecutorLosses executors that may end in a row within [crashWindowMillis] of the start of a task before it is given up.
+ * @property crashWindowMillis age of an attempt up to which the task may have caused the end of its executor.
  * @property checkpointGraceMillis time a task has to checkpoint before it is killed.
  * @property quarantineAfter consecutive failures, of at least [quarantineJobs] jobs, after which an executor is quarantined.
  * @property quarantinePercent maximum percentage of the executors that may be in quarantine.
@@ -51,6 +53,8 @@
     val reserveAfterMillis: Long = 2_000,
     val gangRetryMillis: Long = 100,
     val maxTries: Int = 3,
+    val maxExecutorLosses: Int = 5,
+    val crashWindowMillis: Long = 60_000,
     val backoffMillis: Long = 200,
     val backoffMaxMillis: Long = 30_000,
     val checkpointGraceMillis: Long = 1_500,
--- a/core/src/main/kotlin/rhubarbknot/core/cell/Job.kt
+++ b/core/src/main/kotlin/rhubarbknot/core/cell/Job.kt
@@ -23,6 +23,7 @@
     val failures: Int = 0,
     /** Estimated end, computed at the start; [startedAt] if there is no estimate. */
     val expectedEnd: Long = startedAt,
+    val executorLosses: Int = 0,
 ) {
     /** How the task was asked to stop; null if it was not. */
     var stop: StopMode? = null
@@ -39,12 +40,14 @@
  *
  * @property tries number of its last attempt.
  * @property failures number of attempts that failed by themselves, as opposed to being stopped or lost.
+ * @property executorLosses number of attempts in a row whose executors ended shortly after the start.
  */
 @Serializable
 data class Retry(
     val index: Int,
     val tries: Int,
     val failures: Int = 0,
+    val executorLosses: Int = 0,
 )
 
 /** A task whose executor was lost, so that it may or may not have run. */
--- a/core/src/main/kotlin/rhubarbknot/core/cell/JobLifecycle.kt
+++ b/core/src/main/kotlin/rhubarbknot/core/cell/JobLifecycle.kt
@@ -107,7 +107,7 @@
         executor: Executor,
     ): Task {
         val next = job.takePending()
-        val task = Task(next.index, next.tries + 1, executor.slot, now, next.failures, now + job.estimateMillis)
+        val task = Task(next.index, next.tries + 1, executor.slot, now, next.failures, now + job.estimateMillis, next.executorLosses)
         task.job = job
         job.active.add(task)
         job.begun++
@@ -151,7 +151,7 @@
         // Not reported as freed capacity: it equals that before this start, so what did not fit then does not fit now.
         updateUsage(task, executor, -1)
         task.job.begun--
-        task.job.requeue(Retry(task.index, task.number - 1, task.failures))
+        task.job.requeue(Retry(task.index, task.number - 1, task.failures, task.executorLosses))
     }
 
     /** Asks [task] to stop. It holds its resources until its executor reports that it has ended. */
--- a/core/src/test/kotlin/rhubarbknot/core/CellSpec.kt
+++ b/core/src/test/kotlin/rhubarbknot/core/CellSpec.kt
@@ -88,6 +88,51 @@
         }
     }
 
+    @Nested
+    @DisplayName("with a task whose executors end while it runs")
+    inner class CrashLoops {
+        private fun restart(
+            incarnation: Int,
+            afterMillis: Long,
+        ) {
+            tick(afterMillis)
+            val info = ExecutorInfo(ExecutorId("w"), "$incarnation", ExecutorKind.WORKER, Resources(8_000, 8_000), session = 1)
+            apply(CellCommand.Join(info))
+        }
+
+        @Test
+        fun `gives it up after some executors have ended shortly after its start`() {
+            configure()
+            worker()
+            submit("a", batch(4))
+            repeat(12) { restart(incarnation = it + 2, afterMillis = 3_000) }
+            expectThat(started("a").size).isEqualTo(5)
+            expectThat(outcome("a")).isA<Outcome.Ran>().get { success }.isEqualTo(false)
+        }
+
+        @Test
+        fun `keeps a task that runs for long between the restarts of its executors`() {
+            configure()
+            worker()
+            submit("a", batch(4))
+            repeat(12) { restart(incarnation = it + 2, afterMillis = 120_000) }
+            expectThat(started("a").size).isEqualTo(13)
+            expectThat(outcome("a")).isNull()
+        }
+
+        @Test
+        fun `keeps a task whose executors leave`() {
+            configure()
+            worker()
+            submit("a", batch(4))
+            repeat(12) {
+                apply(CellCommand.Leave(ExecutorId("w")))
+                restart(incarnation = it + 2, afterMillis = 3_000)
+            }
+            expectThat(started("a").size).isEqualTo(13)
+        }
+    }
+
     @Nested
     @DisplayName("with jobs that fit on no executor")
     inner class Unplaceable {
