--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
@@ -21,8 +21,8 @@
         val job = step.job.id
         val holder = heldFor[worker]
         if (holder != null && holder != job) return false
-        val startingHere = worker.starting.any { it.run.task.job != job && (step.isSuspect || it.isSuspect) }
-        return !startingHere && planned[worker].orEmpty().none { it.job != job && (step.isSuspect || it.isSuspect) }
+        val startingHere = worker.starting.any { (step.isSuspect || it.isSuspect) && it.run.task.job != job }
+        return !startingHere && planned[worker].orEmpty().none { (step.isSuspect || it.isSuspect) && it.job != job }
     }
 
     /** Records that a run of [step] is placed on [worker] in this plan. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -218,19 +218,22 @@
         return if (planned.isEmpty() ||
             (spec.gang && planned.size < spec.count)
         ) {
-            PlacementResult.NotPlaced(reasonNotPlaced(step, eligibleWorkers - startable.toSet(), free))
+            PlacementResult.NotPlaced(reasonNotPlaced(step, eligibleWorkers, startable, free))
         } else {
             planned.forEach { free.isolation.place(it.worker, step) }
             PlacementResult.Placed(planned)
         }
     }
 
-    /** Why [step] was not placed, if [isolated] are the workers that only the isolation of starts ruled out. */
+    /** Why [step] was not placed on [startable], the [eligibleWorkers] that the isolation of starts allows. */
     private fun reasonNotPlaced(
         step: WaitingStep,
-        isolated: List<WorkerRecord>,
+        eligibleWorkers: List<WorkerRecord>,
+        startable: List<WorkerRecord>,
         free: FreeCapacity,
     ): WaitReason {
+        if (startable.size == eligibleWorkers.size) return WaitReason.NO_ROOM
+        val isolated = eligibleWorkers - startable.toSet()
         val withCapacity = isolated.filter { step.spec.demand.fitsIn(free.of(it)) }
         if (withCapacity.isEmpty()) return WaitReason.NO_ROOM
         if (step.isSuspect) free.isolation.hold(withCapacity, step, if (step.spec.gang) step.spec.count else 1)
