--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -9,6 +9,7 @@
 import rhubarbknot.flow.FlowFixture.step
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.RunOutcome
+import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.state.Assignment
 import rhubarbknot.flow.state.FlowCommand
@@ -19,6 +20,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNull
 
 @DisplayName("FlowState")
@@ -167,6 +169,64 @@
         expectThat(restored.drainedZones).isEqualTo(setOf("z1"))
     }
 
+    @Nested
+    @DisplayName("when workers crash under a task")
+    inner class Crashes {
+        private fun crash(
+            crash: WorkerCrash,
+            vararg lost: RunId,
+        ) = state.apply(FlowCommand.Ended(lost.map { end(it, RunOutcome.LOST) }, 0, crash = crash))
+
+        private fun crashAtStart(number: Int) {
+            assign(run("a", number = number))
+            crash(WorkerCrash(starting = listOf(run("a", number = number))), run("a", number = number))
+        }
+
+        @Test
+        fun `gives the task up after the second crash at its start, also from a snapshot`() {
+            submit("a", step(2))
+            crashAtStart(1)
+            expectThat(phase("a")).isEqualTo(JobPhase.RUNNING)
+            state.restore(state.snapshot())
+            crashAtStart(2)
+            expectThat(phase("a")).isEqualTo(JobPhase.FAILED)
+            expectThat(assign(run("a", number = 3))).isEqualTo(0)
+        }
+
+        @Test
+        fun `counts a crash once that two leaders report`() {
+            submit("a", step())
+            crashAtStart(1)
+            repeat(3) { crash(WorkerCrash(starting = listOf(run("a")))) }
+            expectThat(phase("a")).isEqualTo(JobPhase.RUNNING)
+        }
+
+        @Test
+        fun `needs five crashes when starts of other jobs came at the same time or its own are not confirmed`() {
+            submit("a", step())
+            submit("b", step())
+            for (number in 1..5) {
+                expectThat(phase("a")).isNotEqualTo(JobPhase.FAILED)
+                assign(run("a", number = number), run("b", number = number))
+                val runs = listOf(run("a", number = number), run("b", number = number))
+                crash(WorkerCrash(unconfirmed = runs), *runs.toTypedArray())
+            }
+            expectThat(phase("a")).isEqualTo(JobPhase.FAILED)
+        }
+
+        @Test
+        fun `counts nothing for a task that is done or a job that is cancelled`() {
+            submit("a", step(2))
+            assign(run("a"))
+            reportEnd(run("a"))
+            repeat(5) { crash(WorkerCrash(starting = listOf(run("a", number = it + 1)))) }
+            expectThat(phase("a")).isEqualTo(JobPhase.RUNNING)
+            state.apply(FlowCommand.Cancel("a", 5))
+            repeat(5) { crash(WorkerCrash(starting = listOf(run("a", index = 1, number = it + 1)))) }
+            expectThat(phase("a")).isEqualTo(JobPhase.CANCELLED)
+        }
+    }
+
     @Nested
     @DisplayName("for a gang")
     inner class Gang {
