Count a start as survived only when the worker itself lists its runs later

What callers saw: nothing yet. A worker that restarted under its id answered a call of its earlier life; that answer was taken as proof that the start 250 ms before had not crashed it, so the task that did was blamed as little as those beside it and started five times. Cause: any response counted since the isolation of starts was shortened; only a list of runs names the life that answers. Test: CrashingTaskSpec "is given up as soon when its workers return under their ids", which failed before (5 starts in place of 2).

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -73,7 +73,7 @@
         used -= run.demand
     }
 
-    /** Records that the worker, which has just responded, has survived the starts that it confirmed by [confirmedUntil]. */
+    /** Records that the worker, which has just listed its runs, has survived the starts that it confirmed by [confirmedUntil]. */
     fun markSurvivedStarts(confirmedUntil: Long) {
         if (startingRuns.isEmpty()) return
         startingRuns.filter { it.confirmedAt <= confirmedUntil }.forEach {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -57,7 +57,6 @@
         }
         if (refusal == RefusalReason.FENCED) effects.logEvent(DispatchEvent.FENCED_OUT, worker.incarnation.id, "term=$term")
         if (clock != null) worker.readClock(clock, now)
-        worker.markSurvivedStarts(now - settings.startSurvivalMillis)
     }
 
     private fun recordUnansweredCall(worker: WorkerRecord) {
@@ -169,6 +168,8 @@
         }
         worker.runsListedAt = now
         worker.suspectedCrash = null
+        // Other responses do not tell whether the worker has restarted under its id.
+        worker.markSurvivedStarts(now - settings.startSurvivalMillis)
         if (!worker.fenced) {
             workers.markFenced(worker)
             val counts = "running=${reply.running.size} ended=${reply.ended.size}"
--- a/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashTestBed.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashTestBed.kt
@@ -22,7 +22,7 @@
 
 /**
  * A real [Dispatcher] with workers that crash, under virtual time. A worker crashes shortly after it has started one of
- * [crashingTasks], and returns at the same address under another id.
+ * [crashingTasks], and returns at the same address, under another id unless [keepsIds] is set.
  */
 internal class CrashTestBed(
     workerCount: Int,
@@ -93,7 +93,7 @@
             crashAt = Long.MAX_VALUE
             downUntil = now + downMillis
             lastEndNumber = 0
-            incarnation = WorkerIncarnation("$name-${++lives}", downUntil)
+            incarnation = WorkerIncarnation(if (keepsIds) incarnation.id else "$name-${++lives}", downUntil)
             sequence = 0
         }
 
@@ -164,6 +164,9 @@
         private set
     val crashingTasks = HashSet<TaskId>()
 
+    /** Whether a worker returns under the same id after a crash. */
+    var keepsIds = false
+
     /** How long a worker is down after a crash. */
     var downMillis = 3_000L
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashingTaskSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/crash/CrashingTaskSpec.kt
@@ -106,6 +106,16 @@
         expectThat(bed.phase("bad")).isEqualTo(JobPhase.FAILED)
     }
 
+    @Test
+    fun `is given up as soon when its workers return under their ids`() {
+        bed.keepsIds = true
+        startBed()
+        bed.submit("bad", work())
+        bed.advance(60_000)
+        expectThat(bed.phase("bad")).isEqualTo(JobPhase.FAILED)
+        expectThat(bed.starts.getValue(crashing).size).isEqualTo(2)
+    }
+
     @Test
     fun `is given up when its workers return only after their leases have expired`() {
         startBed()
