--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -129,15 +129,10 @@
     }
 
     /** No other job may start a run on the worker until it has survived the start of a suspect, so the answer is wanted soon. */
-    private fun renewWaitMillis(worker: WorkerRecord): Long =
-        if (worker.starting.any { it.isSuspect }) {
-            minOf(
-                settings.startSurvivalMillis,
-                settings.renewWaitMillis,
-            )
-        } else {
-            settings.renewWaitMillis
-        }
+    private fun renewWaitMillis(worker: WorkerRecord): Long {
+        val isSuspectStarting = worker.starting.any { it.isSuspect }
+        return if (isSuspectStarting) minOf(settings.startSurvivalMillis, settings.renewWaitMillis) else settings.renewWaitMillis
+    }
 
     /**
      * Whether [worker] has listed its runs so recently that it cannot have restarted since. A restarted worker numbers its
