--- a/flow/src/main/kotlin/rhubarbknot/flow/state/CrashRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/CrashRecord.kt
@@ -51,6 +51,7 @@
         }
 
     private companion object {
+        /** Of a run whose start the worker had survived, or that may not have been started. */
         const val PRESENT_WEIGHT = 1
         const val STARTER_WEIGHT = 2
         const val SOLE_STARTER_WEIGHT = 3
@@ -59,6 +60,8 @@
         /** Reached by two crashes at the start, one of them as the sole starter, or by five crashes of any kind. */
         const val SCORE_LIMIT = 5
         const val MIN_CRASHES = 2
+
+        /** Crashes, known to be under the task or not, after which it is given up whatever its score. */
         const val CRASH_LIMIT = 5
     }
 }
