--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -126,6 +126,21 @@
         return controls.stream().map(Node::address).toList();
     }
 
+    /** The control node that came to lead last, by the logs; null if there is none. */
+    Node leader() throws IOException {
+        Node leader = null;
+        long latest = -1;
+        for (Node node : controls) {
+            Matcher line = Pattern.compile("\\{\"at\":(\\d+)[^\n]*\"event\":\"leading\"").matcher(node.log());
+            while (line.find()) {
+                long at = Long.parseLong(line.group(1));
+                if (at > latest) leader = node;
+                latest = Math.max(latest, at);
+            }
+        }
+        return leader;
+    }
+
     /** Address of the minion number {@code i}. */
     String minionAddress(int i) {
         return "127.0.3." + i + ":" + workerPort;
--- a/review/standins/Minion.java
+++ b/review/standins/Minion.java
@@ -31,12 +31,14 @@
 
     private static final long HEARTBEAT_MILLIS = 1_500;
     private static final long MAX_LEASE_MILLIS = 10_000;
+    private static final long GREY_RUN_MILLIS = 100;
 
     final String id;
     final String address;
     final long born = System.currentTimeMillis();
     private final long bornNanos = System.nanoTime();
     private final int cpu;
+    private final String kind;
     private final List<String> controls;
     private final Observer observer;
     private final Trace trace;
@@ -59,11 +61,14 @@
     /** While set, orders get no answer and do nothing, as behind a cut link; heartbeats get through unless they are cut as well. */
     volatile boolean ordersCut;
     volatile boolean heartbeatsCut;
+    /** While set, the minion fails all that it starts, though its health is good. */
+    volatile boolean grey;
 
-    Minion(String id, String address, int cpu, List<String> controls, Observer observer, Trace trace) throws IOException {
+    Minion(String id, String address, int cpu, String kind, List<String> controls, Observer observer, Trace trace) throws IOException {
         this.id = id;
         this.address = address;
         this.cpu = cpu;
+        this.kind = kind;
         this.controls = new ArrayList<>(controls);
         this.observer = observer;
         this.trace = trace;
@@ -95,6 +100,23 @@
         return heartbeat();
     }
 
+    /**
+     * Says that the minion leaves, to the nodes at {@code addresses} by turns until one answers within a second, and ends. Returns the
+     * number of calls.
+     */
+    int leave(List<String> addresses) {
+        int calls = 0;
+        Http.Response response = null;
+        while (response == null && calls < 4) {
+            String to = addresses.get(calls++ % addresses.size());
+            response = Http.call(to, "DELETE", "/rhubarbknot/instances/" + id, null, null, null, 1_000);
+            trace.line("minion " + this + ": DELETE instances/" + id + " to " + to + ": " + Scenario.shown(response));
+        }
+        close();
+        trace.line("minion ended: " + this);
+        return calls;
+    }
+
     synchronized boolean isRunning(String task) {
         return running.containsKey(task);
     }
@@ -126,7 +148,7 @@
     private synchronized String report() {
         return "{\"service\":\"board\",\"address\":\"" + address + "\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":8,\"state\":\""
             + (draining ? "draining" : "ready") + "\",\"cold_remaining_ms\":0,\"room\":{\"cpu\":" + cpu
-            + ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"born\":" + born + ",\"clock_ms\":" + clock() + ",\"call_seq\":"
+            + ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"" + kind + "\",\"r1\"],\"born\":" + born + ",\"clock_ms\":" + clock() + ",\"call_seq\":"
             + ++sequence + "}";
     }
 
@@ -189,6 +211,10 @@
         run.number = number;
         run.how = words[0].equals("fail") ? "failed" : "done";
         run.endsAt = words[0].equals("serve") ? Long.MAX_VALUE : clock() + Long.parseLong(words[1]);
+        if (grey) {
+            run.how = "failed";
+            run.endsAt = clock() + GREY_RUN_MILLIS;
+        }
         running.put(task, run);
         observer.started(this, task, number);
         return null;
--- a/review/standins/Scenario.java
+++ b/review/standins/Scenario.java
@@ -141,7 +141,17 @@
     // Runs
 
     Minion minion(String id, int i, int cpu) throws Exception {
-        Minion minion = new Minion(id, deployment.minionAddress(i), cpu, deployment.controlAddresses(), this, trace);
+        return minion(id, i, cpu, "a");
+    }
+
+    /** Starts the minion called {@code id} of {@code kind} at address number {@code i}. */
+    Minion minion(String id, int i, int cpu, String kind) throws Exception {
+        return minion(id, i, cpu, kind, deployment.controlAddresses());
+    }
+
+    /** The same with {@code controls} as the addresses to which it sends its heartbeats, the first one first. */
+    Minion minion(String id, int i, int cpu, String kind, List<String> controls) throws Exception {
+        Minion minion = new Minion(id, deployment.minionAddress(i), cpu, kind, controls, this, trace);
         trace.line("minion started: " + minion + " at " + minion.address);
         return minion;
     }
