Review case 5: jobs whose tasks never began are not counted as pending

Cause: a job leaves the pending count when a run is assigned, before any start is sent, and does not return when that run never started.

Nothing of the product.

--- a/review/standins/Scenario.java
+++ b/review/standins/Scenario.java
@@ -1,8 +1,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What all cases share: the deployment, the operator, a client, and the record of which runs of a task were at work at one time.
@@ -19,6 +21,7 @@
     final String trouble;
     private final Map<String, Map<String, Long>> atWork = new LinkedHashMap<>();
     private final List<String> overlaps = new ArrayList<>();
+    private final Set<String> startedTasks = new HashSet<>();
 
     Scenario(Path folder) throws Exception {
         trace = new Trace(folder.resolve("record.txt"));
@@ -159,6 +162,7 @@
     @Override
     public synchronized void started(Minion minion, String task, long run) {
         trace.line("START " + task + " run " + run + " on " + minion);
+        startedTasks.add(task);
         Map<String, Long> runs = atWork.computeIfAbsent(task, t -> new LinkedHashMap<>());
         runs.put(minion.toString(), run);
         if (runs.size() > 1) {
@@ -179,6 +183,11 @@
         return overlaps.isEmpty() ? null : overlaps.get(0);
     }
 
+    /** Whether any minion has ever started {@code task}. */
+    synchronized boolean hasStarted(String task) {
+        return startedTasks.contains(task);
+    }
+
     synchronized boolean isAtWork(String task) {
         return !atWork.getOrDefault(task, Map.of()).isEmpty();
     }
