--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -f platform/target/rhubarbknot-platform.jar ] && [ -d review/target/classes ] || { echo "not built" >&2; exit 2; }
-TROUBLE="${TROUBLE:-1}" exec java -Xmx128m -XX:+UseSerialGC -cp review/target/classes ForeignEntry review/2
+TROUBLE="${TROUBLE:-1}" exec java -Xmx128m -XX:+UseSerialGC -cp review/target/classes ManyChanges review/2
