--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -61,6 +61,22 @@
             trace.line("process ended after SIGTERM" + (ended ? ": " : " and SIGKILL: ") + this);
         }
 
+        /** SIGSTOP: the machine freezes. */
+        void freeze() throws Exception {
+            signal("STOP");
+            trace.line("process frozen: " + this);
+        }
+
+        /** SIGCONT: it wakes again. */
+        void wake() throws Exception {
+            signal("CONT");
+            trace.line("process awake: " + this);
+        }
+
+        private void signal(String name) throws Exception {
+            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+        }
+
         void deleteData() throws IOException {
             delete(data());
             trace.line("disk lost: " + this);
--- a/review/standins/ManyChanges.java
+++ b/review/standins/ManyChanges.java
@@ -1,8 +1,8 @@
 import java.nio.file.Path;
 
 /**
- * The configuration has grown by many routes, and the operator changes it some hundred times, until a change is not acknowledged. Then
- * the control nodes are stopped and started in turn.
+ * The configuration has grown by many routes, and the operator changes it some hundred times, until a change is not acknowledged.
+ * Clients hand in four short jobs a change. Then the control nodes are stopped and started in turn.
  *
  * <p>With TROUBLE=0 the configuration is small; the rest is the same. Processes that end by themselves are started again.
  */
@@ -11,6 +11,8 @@
     private static final int SMALL_ROUTES = 8;
     private static final int CHANGES = 160;
     private static final long GAP_MILLIS = 330;
+    /** The users' plan has 220,000 jobs and 53,000 changes a day. */
+    private static final int JOBS_A_CHANGE = 4;
     private static final double LAST_CHANGE_SECONDS = 60;
     /** The pause of the rolling restart between two machines. */
     private static final long ROLL_GAP_MILLIS = 2_000;
@@ -19,6 +21,8 @@
     private static final int ANSWER_MILLIS = 2_000;
     private static final long RESTART_MILLIS = 1_000;
     private static final long CONTACT_MILLIS = 3_000;
+    private static final String SHORT_JOB =
+        "{\"spec\":\"work 50\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":100,\"estimated_ms\":50}]}";
     private volatile int ownEnds;
     private volatile Deployment.Node stopping;
     private volatile boolean over;
@@ -46,14 +50,18 @@
 
         int acked = 1;
         boolean accepted = true;
+        int jobs = 0;
         for (int version = 2; version < 2 + CHANGES && accepted; version++) {
             long next = System.nanoTime() + GAP_MILLIS * 1_000_000;
             accepted = put(configuration(version, 3_000 + version, routes));
             if (accepted) acked = version;
+            for (int i = 0; i < JOBS_A_CHANGE && accepted; i++) {
+                if (isAccepted(client("POST", id(JOBS_A_CHANGE * version + i), SHORT_JOB, i))) jobs++;
+            }
             if (!accepted || version % 10 == 0) trace.line("operator: configuration " + version + (accepted ? " acknowledged" : " not acknowledged"));
             Minion.sleep(Math.max(0, (next - System.nanoTime()) / 1_000_000));
         }
-        trace.line("operator: no more changes; the newest acknowledged is " + acked + "; processes that ended by themselves: " + ownEnds);
+        trace.line("operator: no more changes; the newest acknowledged is " + acked + "; jobs accepted: " + jobs + "; processes that ended by themselves: " + ownEnds);
         for (Deployment.Node node : deployment.controls) {
             stopping = node;
             node.terminate();
@@ -86,6 +94,10 @@
             + " processes ended by themselves";
     }
 
+    private static boolean isAccepted(Http.Response response) {
+        return response != null && response.status() / 100 == 2;
+    }
+
     private static String configuration(int version, int timeoutMillis, int idleRoutes) {
         StringBuilder more = new StringBuilder();
         for (int i = 1; i <= idleRoutes; i++) more.append(',').append(idleRoute(i));
