--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
@@ -11,7 +11,8 @@
  * @property slowClockPerMille maximum rate by which a worker's clock may run slower than this host's clock.
  * @property reportTimeoutMillis time without a report after which nothing is started on a worker.
  * @property forgetMillis time without a report after which the record of an idle worker is removed.
- * @property departureMillis time after a worker's leave message until it is guaranteed to run nothing.
+ * @property departureMillis time after a worker's leave message until it no longer answers calls.
+ * @property maxMessageDelayMillis how long a worker's message may be held up, for example by a control node that is paused.
  * @property stopMillis maximum time that a worker takes to stop a run.
  * @property distrustMillis how long a worker whose runs fail gets no new runs.
  * @property stallMillis minimum time without progress after which a run counts as stalled and its worker is distrusted.
@@ -29,6 +30,7 @@
     val reportTimeoutMillis: Long = 5_000,
     val forgetMillis: Long = 20_000,
     val departureMillis: Long = 1_000,
+    val maxMessageDelayMillis: Long = 15_000,
     val stopMillis: Long = 900,
     val distrustMillis: Long = 4_000,
     val stallMillis: Long = 1_500,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -20,7 +20,7 @@
         now: Long,
     ) {
         if (worker.terminated) return
-        if (worker.leftAt != Long.MAX_VALUE && now - worker.leftAt >= settings.departureMillis) {
+        if (worker.unansweredCalls > 0 && worker.isLeaveDue(now, settings.departureMillis) && mustHaveLeft(worker, now)) {
             workers.markTerminated(worker, now, "left")
             return
         }
@@ -34,6 +34,15 @@
         sendRenewal(worker, address, now)
     }
 
+    /**
+     * Whether the leave message of the silent [worker] can only have come from this incarnation: it has announced its end, and
+     * it is older than a message of an earlier incarnation that was held up on its way.
+     */
+    private fun mustHaveLeft(
+        worker: WorkerRecord,
+        now: Long,
+    ): Boolean = worker.report?.draining == true && now - worker.incarnation.born > settings.maxMessageDelayMillis
+
     private fun sendRunCalls(
         worker: WorkerRecord,
         address: String,
@@ -117,9 +126,11 @@
         val hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd
         // The worker would immediately list ends again that are not committed yet.
         if (worker.fenced && worker.lastProposedEnd > worker.lastCommittedEnd) return
-        if (worker.fenced && !hasCommittedRuns && !hasUnacknowledgedEnds && !mayBeReachable(worker, now)) return
+        val isLeaveDue = worker.isLeaveDue(now, settings.departureMillis)
+        if (worker.fenced && !hasCommittedRuns && !hasUnacknowledgedEnds && !isLeaveDue && !mayBeReachable(worker, now)) return
         worker.renewInFlight = true
-        val waitMillis = if (worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns) renewWaitMillis(worker) else 0
+        val canWait = worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns && !isLeaveDue
+        val waitMillis = if (canWait) renewWaitMillis(worker) else 0
         val deadline = if (hasCommittedRuns) leases.grant(worker, now) else null
         val lastSeen = if (isConfirmedIncarnation(worker, now)) worker.lastCommittedEnd else 0
         effects.call(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
@@ -71,6 +71,9 @@
     /** The connection failed, so nothing was sent. */
     data object NotSent : WorkerReply
 
+    /** The worker's host refused the connection, so nothing was sent and no process accepts calls at the address. */
+    data object ConnectionRefused : WorkerReply
+
     /** No response arrived; the call may have been executed or may be executed later. */
     data object NoResponse : WorkerReply
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -31,6 +31,11 @@
 
     /** Whether this incarnation has ended and runs nothing any more. */
     var terminated = false
+
+    /**
+     * When the leave message of this incarnation or of an earlier one under the same id arrived; [Long.MAX_VALUE] while there
+     * is none. The message does not tell which incarnation sent it.
+     */
     var leftAt = Long.MAX_VALUE
 
     /** Highest end number that is committed to the log. */
@@ -58,6 +63,7 @@
 
     val capacity: Resources get() = report?.room ?: Resources.NONE
     val free: Resources get() = capacity - used
+    val isLeaving: Boolean get() = leftAt != Long.MAX_VALUE
     val hasCommittedRuns: Boolean get() = runs.values.any { it.stage != RunStage.PROPOSED }
 
     fun add(run: RunRecord) {
@@ -82,6 +88,12 @@
         }
     }
 
+    /** Whether the worker must have ended by [now] if its leave message came from this incarnation. */
+    fun isLeaveDue(
+        now: Long,
+        departureMillis: Long,
+    ): Boolean = isLeaving && now - leftAt >= departureMillis
+
     fun readClock(
         reading: Long,
         now: Long,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -47,6 +47,11 @@
                     recordUnansweredCall(worker)
                     return
                 }
+                WorkerReply.ConnectionRefused -> {
+                    recordUnansweredCall(worker)
+                    if (worker.isLeaving) workers.markTerminated(worker, now, "left and refuses connections")
+                    return
+                }
             }
         if (worker.unansweredCalls > UNREACHABLE_LOG_THRESHOLD) effects.logEvent(DispatchEvent.WORKER_REGAINED, worker.incarnation.id)
         worker.unansweredCalls = 0
@@ -78,7 +83,8 @@
             is WorkerReply.Done -> markStarted(record, now)
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
             is WorkerReply.Runs -> Unit
-            WorkerReply.NotSent -> if (record.startUncertain) record.retryAt = now + settings.retryMillis else runs.rejectRun(record, now)
+            WorkerReply.NotSent, WorkerReply.ConnectionRefused ->
+                if (record.startUncertain) record.retryAt = now + settings.retryMillis else runs.rejectRun(record, now)
             WorkerReply.NoResponse -> {
                 record.startUncertain = true
                 record.retryAt = now + RESEND_MILLIS
@@ -168,6 +174,7 @@
         }
         worker.runsListedAt = now
         worker.suspectedCrash = null
+        if (worker.isLeaveDue(sentAt, settings.departureMillis)) workers.cancelLeaving(worker)
         // Other responses do not tell whether the worker has restarted under its id.
         worker.markSurvivedStarts(now - settings.startSurvivalMillis)
         if (!worker.fenced) {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -88,7 +88,11 @@
         touch(record)
     }
 
-    /** Marks the worker called [id] as leaving. */
+    /**
+     * Gives no more runs to the worker called [id] until it is known which of its incarnations has left: a late message of an
+     * earlier incarnation must not end the runs of a later one. An incarnation that refuses connections has ended, and so has a
+     * silent one that must have sent the message itself; one that still lists its runs after the time of departure has not left.
+     */
     fun markLeaving(
         id: String,
         now: Long,
@@ -99,6 +103,13 @@
         }
     }
 
+    /** Records that [worker] goes on: the leave message came from an earlier incarnation. */
+    fun cancelLeaving(worker: WorkerRecord) {
+        worker.leftAt = Long.MAX_VALUE
+        changes++
+        effects.logEvent(DispatchEvent.LEAVE_IGNORED, worker.incarnation.id, "still lists its runs=${worker.runs.size}")
+    }
+
     /** Marks [worker] as terminated for [reason]; it is guaranteed to run nothing any more. */
     fun markTerminated(
         worker: WorkerRecord,
@@ -136,7 +147,7 @@
         val report = worker.report ?: return false
         return worker.fenced &&
             !worker.terminated &&
-            worker.leftAt == Long.MAX_VALUE &&
+            !worker.isLeaving &&
             !report.draining &&
             report.zone !in drainedZones &&
             worker.unansweredCalls == 0 &&
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -153,6 +153,115 @@
         expectThat(startCalls(dispatchAll(200)).single().worker.id).isEqualTo("w3")
     }
 
+    @Nested
+    @DisplayName("when a leave message arrives")
+    inner class LeaveMessages {
+        private val departureMillis = settings.departureMillis
+
+        private fun startOnW1(born: Long): WorkerCall.Start {
+            dispatcher.workerReported(report("w1", born = born, clockMillis = now), now)
+            dispatchAll().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runsReply(born = born)) }
+            submit("a", step())
+            val calls = dispatchAll()
+            val start = startCalls(calls).single()
+            reply(start, WorkerReply.Done(now))
+            answerRenewals(calls + dispatchAll()) { runsReply(listOf(RunningRun(start.run, "")), born = born) }
+            return start
+        }
+
+        private fun addW2(
+            start: WorkerCall.Start,
+            born: Long = 2,
+        ) {
+            dispatcher.workerReported(report("w2", clockMillis = now), now)
+            val (second, first) = dispatchAll().filterIsInstance<WorkerCall.Renew>().partition { it.worker.id == "w2" }
+            second.forEach { reply(it, runsReply()) }
+            answerRenewals(first) { runsReply(listOf(RunningRun(start.run, "")), born = born) }
+        }
+
+        private fun answerRenewals(
+            calls: List<WorkerCall>,
+            answer: () -> WorkerReply,
+        ) = calls.filterIsInstance<WorkerCall.Renew>().filter { it.worker.id == "w1" }.forEach { reply(it, answer()) }
+
+        // A task ran twice after a leave message of its worker's earlier incarnation had been delivered late.
+        @Test
+        fun `keeps the runs of an incarnation that still lists them after a leave message of an earlier one`() {
+            dispatcher.workerReported(report("w1", born = 1, clockMillis = now, draining = true), now)
+            val start = startOnW1(born = 2)
+            addW2(start)
+            dispatcher.workerLeft("w1", now)
+            repeat(4) { round ->
+                val calls = dispatchAll(departureMillis / 2)
+                expectThat(startCalls(calls)).isEmpty()
+                answerRenewals(calls) { runsReply(listOf(RunningRun(start.run, "", percent = 10 * round)), born = 2) }
+            }
+            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
+            // The worker counts again as one that may get runs.
+            expectThat(dispatcher.workerCounts(now).first).isEqualTo(2)
+        }
+
+        // The same, while the leader can not reach the worker: silence is no proof that the incarnation has ended.
+        @Test
+        fun `waits for the lease of a worker that neither answers nor refuses connections`() {
+            val start = startOnW1(born = 2)
+            addW2(start)
+            dispatcher.workerLeft("w1", now)
+            val silentSince = now
+            while (now - silentSince < settings.leaseMillis) {
+                val calls = dispatchAll(departureMillis / 2)
+                dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
+                expectThat(startCalls(calls)).isEmpty()
+                answerRenewals(calls) { WorkerReply.NoResponse }
+            }
+            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
+        }
+
+        @Test
+        fun `restarts the runs of a silent worker elsewhere when it drained and is older than any late message`() {
+            val start = startOnW1(born = 2)
+            addW2(start)
+            dispatcher.workerReported(report("w1", born = 2, clockMillis = now, sequence = 2, draining = true), now)
+            dispatcher.workerLeft("w1", now)
+            answerRenewals(dispatchAll(departureMillis)) { WorkerReply.NoResponse }
+            expectThat(startCalls(dispatchAll()).single().worker.id).isEqualTo("w2")
+        }
+
+        // A message of an earlier incarnation may be held up until a later one drains and can not be reached.
+        @Test
+        fun `waits for the lease of a silent worker that drains but has only just started`() {
+            val born = now - settings.maxMessageDelayMillis
+            val start = startOnW1(born)
+            addW2(start, born)
+            dispatcher.workerReported(report("w1", born = born, clockMillis = now, sequence = 2, draining = true), now)
+            dispatcher.workerLeft("w1", now - departureMillis)
+            answerRenewals(dispatchAll()) { WorkerReply.NoResponse }
+            expectThat(startCalls(dispatchAll())).isEmpty()
+            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
+        }
+
+        @Test
+        fun `restarts the runs of a worker elsewhere as soon as it refuses connections`() {
+            val start = startOnW1(born = 2)
+            addW2(start)
+            dispatcher.workerLeft("w1", now)
+            val calls = dispatchAll(departureMillis)
+            answerRenewals(calls) { WorkerReply.ConnectionRefused }
+            val next = startCalls(dispatchAll()).single()
+            expectThat(next.run.task).isEqualTo(start.run.task)
+            expectThat(next.worker.id).isEqualTo("w2")
+        }
+
+        @Test
+        fun `does not take a refused connection alone for the end of a worker`() {
+            val start = startOnW1(born = 2)
+            addW2(start)
+            answerRenewals(dispatchAll(settings.renewWaitMillis)) { WorkerReply.ConnectionRefused }
+            expectThat(startCalls(dispatchAll())).isEmpty()
+            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
+        }
+    }
+
     @Nested
     @DisplayName("when it starts a run")
     inner class StartCalls {
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.withTimeout
 import rhubarbknot.wire.Addresses
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -41,6 +42,9 @@
 
         /** No connection could be established, so no request was sent. */
         data object NotSent : Outcome
+
+        /** The host refused the connection, so no request was sent and no process listens at the address. */
+        data object ConnectionRefused : Outcome
     }
 
     /** Sends a request to the server at [address] and waits at most [timeoutMillis] for the response. */
@@ -69,6 +73,8 @@
         } catch (_: CancellationException) {
             // Ktor cancels the channels of a broken connection; rethrow only if this coroutine itself was cancelled.
             currentCoroutineContext().ensureActive()
+        } catch (e: ConnectException) {
+            if (!sent && e.isRefusal) return Outcome.ConnectionRefused
         } catch (_: Exception) {
             // The connection failed or the response is not valid HTTP. Whatever a server sends, the caller gets an outcome.
         } finally {
@@ -77,6 +83,9 @@
         return if (sent) Outcome.NoResponse else Outcome.NotSent
     }
 
+    /** A [ConnectException] also reports a connection attempt that timed out, which says nothing about the process. */
+    private val ConnectException.isRefusal: Boolean get() = message?.startsWith("Connection refused") == true
+
     private fun takeIdle(address: String): Connection? {
         val pool = idleConnections[address] ?: return null
         synchronized(pool) {
--- a/flowd/src/test/kotlin/rhubarbknot/flowd/HttpClientSpec.kt
+++ b/flowd/src/test/kotlin/rhubarbknot/flowd/HttpClientSpec.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DisplayName
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
@@ -59,6 +60,14 @@
         expectThat(outcome).isEqualTo(HttpClient.Outcome.NoResponse)
     }
 
+    @Test
+    fun `tells a refused connection from other failures to connect`() {
+        val unused = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        val outcome =
+            runBlocking { client.call("127.0.0.1:$unused", "POST", "/call", emptyList(), ByteArray(0), CALL_TIMEOUT_MILLIS) }
+        expectThat(outcome).isEqualTo(HttpClient.Outcome.ConnectionRefused)
+    }
+
     private companion object {
         const val REQUEST_BYTES = 4_096
         const val CALL_TIMEOUT_MILLIS = 2_000L
