--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -26,6 +26,8 @@
  * @property seeds addresses of control nodes to contact first.
  * @property bootstrap initial members of the group; empty on a replica that joins an existing group.
  * @property targetVoterCount voters of a complete group: 2f + 1 to tolerate the simultaneous loss of f.
+ * @property lostAfterMillis time without a connection after which another replica replaces a voter; with the time to detect the loss
+ * and to change the members, within the time after which the deployment may lose another host.
  * @property snapshotEvery number of log entries between two snapshots.
  */
 data class ControlConfig(
@@ -34,6 +36,7 @@
     val bootstrap: Members,
     val targetVoterCount: Int,
     val dispatch: DispatchSettings = DispatchSettings(),
+    val lostAfterMillis: Long = MembershipManager.DEFAULT_LOST_AFTER_MILLIS,
     val snapshotEvery: Long = 4_000,
     val heartbeatMillis: Long = 80,
     val electionMinMillis: Long = 400,
@@ -55,7 +58,7 @@
     private val state = FlowState()
     private val requestHandler = LeaderRequestHandler(state)
     private val router = RequestRouter(self.address, now)
-    private val membershipManager = MembershipManager(replicaId, config.targetVoterCount)
+    private val membershipManager = MembershipManager(replicaId, config.targetVoterCount, config.lostAfterMillis)
     private val replica =
         Replica(
             ReplicaConfig(
@@ -82,6 +85,7 @@
     private var membershipCheckDueAt = 0L
     private var lastBroadcastServing = false
     private var shutdownStartedAt = 0L
+    private val isShuttingDown: Boolean get() = shutdownStartedAt > 0
 
     /** Whether the dispatcher has yet to be told which peers can ask the eligibility service. */
     private var peersChanged = true
@@ -102,7 +106,7 @@
         updateLeadership(now)
         propose(now)
         updateConnections()
-        if (shutdownStartedAt > 0) completeShutdown(now)
+        if (isShuttingDown) completeShutdown(now)
         val out = ArrayList(effects)
         effects.clear()
         return out
@@ -155,6 +159,7 @@
             NodeEvent.Shutdown -> {
                 shutdownStartedAt = now
                 step(ReplicaEvent.TransferLeadership(), now)
+                broadcastStatus(now)
             }
         }
     }
@@ -194,6 +199,8 @@
             is NodeFrame.Replica -> if (frame.to == self.replica) step(ReplicaEvent.Received(ReplicaId(frame.from), frame.message), now)
             is NodeFrame.Status -> {
                 peers.statusReceived(from.address, frame, now)
+                // A process that shuts down waits for its replacement.
+                if (frame.leaving) membershipCheckDueAt = now
                 updateLeader(now)
             }
             is NodeFrame.Ask -> handleRequest(Caller(from.address, frame.number), frame.request, now)
@@ -430,8 +437,9 @@
             peers.knownControls(replica.members),
             leaderAddress(now),
             replica.term,
-            serving(now) && shutdownStartedAt == 0L,
+            serving(now) && !isShuttingDown,
             state.configuration?.limits,
+            leaving = isShuttingDown,
         )
 
     private fun broadcastStatus(now: Long) {
@@ -446,6 +454,7 @@
     private fun updateLeader(now: Long) = execute(router.leaderChanged(leaderAddress(now), now), now)
 
     private fun updateMembership(now: Long) {
+        membershipManager.observe(replica.members, peers.replicas(), now)
         if (!replica.isLeader || !replica.holdsLease(now)) return
         val next = membershipManager.nextMembers(replica.members, peers.replicas(), replica::caughtUp, now) ?: return
         log(NodeLogEvent.MEMBERS_PROPOSED, self.address, "voters=${next.voters.sorted()} learners=${next.learners.sorted()}")
@@ -457,10 +466,17 @@
     }
 
     private fun completeShutdown(now: Long) {
-        val handedOver = !replica.isLeader && proposals.isIdle && router.openCount == 0
+        val handedOver = !replica.isLeader && !awaitsReplacement() && proposals.isIdle && router.openCount == 0
         if (handedOver || now - shutdownStartedAt > SHUTDOWN_TIMEOUT_MILLIS) effects += NodeEffect.ShutdownComplete
     }
 
+    /** Whether this replica is still a voter although another one can take its place or has already been added. */
+    private fun awaitsReplacement(): Boolean {
+        val members = replica.members
+        if (replicaId !in members.voters) return false
+        return members.voters.size > config.targetVoterCount || peers.replicas().any { it.id in members.learners && !it.leaving }
+    }
+
     private fun log(
         event: NodeLogEvent,
         subject: String,
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlPeers.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlPeers.kt
@@ -20,7 +20,9 @@
 
     /** Replicas of the connected control nodes. */
     fun replicas(): List<ConnectedReplica> =
-        connected.values.filter { it.replica.isNotEmpty() }.map { ConnectedReplica(ReplicaId(it.replica), it.zone) }
+        connected.values.filter { it.replica.isNotEmpty() }.map {
+            ConnectedReplica(ReplicaId(it.replica), it.zone, leaving = statuses[it.address]?.status?.leaving == true)
+        }
 
     fun peerConnected(peer: NodeIdentity) {
         connected[peer.address] = peer
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/NodeFrame.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/NodeFrame.kt
@@ -35,6 +35,7 @@
      * @property controls addresses of all known control nodes.
      * @property leader address of the leader; null when no leader is known.
      * @property serving whether the sender is the leader and holds a valid lease.
+     * @property leaving whether the sender is shutting down and waits for another replica to become a voter in its place.
      */
     @Serializable
     @SerialName("status")
@@ -44,6 +45,7 @@
         val term: Long,
         val serving: Boolean,
         val limits: RequestLimits? = null,
+        val leaving: Boolean = false,
     ) : NodeFrame
 
     @Serializable
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
@@ -44,6 +44,7 @@
     seed: Long,
     ceiling: Resources,
     private val dispatch: DispatchSettings = DispatchSettings(),
+    private val voterCount: Int = 3,
 ) {
     private class ScheduledAction(
         val at: Long,
@@ -53,9 +54,13 @@
 
     val random = SplittableRandom(seed)
     val oracle = Oracle(ceiling)
-    val controls = (1..3).map { SimulatedNode("10.0.0.$it:1", isControl = true) }
+    private val founders = (1..voterCount).map { SimulatedNode("10.0.0.$it:1", isControl = true) }
+
+    /** The control nodes that were never removed. */
+    val controls = ArrayList(founders)
     val gateways = (1..2).map { SimulatedNode("10.0.1.$it:1", isControl = false) }
-    val nodes = controls + gateways
+    val nodes = founders + gateways
+    private val allNodes = ArrayList(nodes)
     var now = START_MILLIS
         private set
     private val gangs = GangTracker()
@@ -125,7 +130,7 @@
         if (node.process != null) return
         node.incarnation++
         node.targets = emptySet()
-        val initialMembers = controls.map { MembershipManager.replicaIdFor(it.address, "0") }.toSet()
+        val initialMembers = founders.map { MembershipManager.replicaIdFor(it.address, "0") }.toSet()
         if (node.isControl) {
             if (isFirst) node.identity = node.identity.copy(replica = MembershipManager.replicaIdFor(node.address, "0").name)
             val isInitialMember = ReplicaId(node.identity.replica) in initialMembers
@@ -134,7 +139,7 @@
                     node.identity,
                     controls.map { it.address }.toSet(),
                     Members(if (isInitialMember) initialMembers else emptySet()),
-                    targetVoterCount = 3,
+                    targetVoterCount = voterCount,
                     seed = random.nextLong(),
                     snapshotEvery = SNAPSHOT_EVERY,
                     dispatch = dispatch,
@@ -165,6 +170,28 @@
         node.identity = node.identity.copy(replica = MembershipManager.replicaIdFor(node.address, now.toString()).name)
     }
 
+    /** Asks the process of [node] to shut down; it ends once it is ready. */
+    fun terminate(node: SimulatedNode) = deliver(node, NodeEvent.Shutdown)
+
+    /** Removes [node] for good. A [silent] one leaves its connections open. */
+    fun remove(
+        node: SimulatedNode,
+        silent: Boolean,
+    ) {
+        controls.remove(node)
+        if (silent) allNodes.filter { it !== node }.forEach { partition(node, it) } else kill(node, losesPower = true)
+    }
+
+    /** Starts a control node on a new host with an empty disk. */
+    fun addControl(): SimulatedNode {
+        val node = SimulatedNode("10.0.2.${allNodes.size}:1", isControl = true)
+        node.identity = node.identity.copy(replica = MembershipManager.replicaIdFor(node.address, now.toString()).name)
+        controls += node
+        allNodes += node
+        start(node)
+        return node
+    }
+
     fun freeze(
         node: SimulatedNode,
         millis: Long,
@@ -214,7 +241,7 @@
                 eventLog.addLast("$now ${node.address} ${effect.entry.event} ${effect.entry.subject} ${effect.entry.detail}")
                 if (eventLog.size > MAX_LOG_ENTRIES) eventLog.removeFirst()
             }
-            NodeEffect.ShutdownComplete -> Unit
+            NodeEffect.ShutdownComplete -> after(0) { kill(node, losesPower = false) }
         }
     }
 
@@ -241,7 +268,7 @@
 
     // Network
 
-    fun nodeAt(address: String): SimulatedNode = nodes.first { it.address == address }
+    fun nodeAt(address: String): SimulatedNode = allNodes.first { it.address == address }
 
     /** Partitions [a] from [b]; only the direction from [a] to [b] when [oneWay]. */
     fun partition(
@@ -262,10 +289,10 @@
     ) = (from.address to to.address) in blocked
 
     private fun openLinks() {
-        nodes.forEach { node ->
+        allNodes.forEach { node ->
             if (node.process == null || now < node.frozenUntil) return@forEach
             node.targets.filter { it !in node.links && it != node.address }.forEach { address ->
-                val peer = nodes.firstOrNull { it.address == address } ?: return@forEach
+                val peer = allNodes.firstOrNull { it.address == address } ?: return@forEach
                 if (peer.process == null || now < peer.frozenUntil || isBlocked(node, peer) || isBlocked(peer, node)) return@forEach
                 node.links += peer.address
                 peer.links += node.address
