--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/FileStorage.kt
@@ -10,12 +10,12 @@
 import kotlin.io.path.name
 
 /**
- * Stores the state of one replica in a folder, as a segmented log and snapshots. All batches of a write share a single
- * sync. Segments fully covered by a snapshot are deleted.
+ * Stores the state of one replica in a folder, as a segmented log and snapshots. The batches of a write share a sync, except
+ * that a sync covers little more than [SYNC_BYTES] of payload. Segments fully covered by a snapshot are deleted.
  */
 class FileStorage(
     private val folder: Path,
-    private val segmentBytes: Long = 16L * 1024 * 1024,
+    private val segmentBytes: Long = 4L * 1024 * 1024,
 ) : Storage {
     private val snapshots = SnapshotFiles(folder.also { createDurably(it) })
     private val segments = ArrayList<LogSegment>()
@@ -81,13 +81,39 @@
     }
 
     override fun write(batches: List<ReplicaEffect.Persist>) {
-        if (segments.last().bytes >= segmentBytes) startNewSegment()
-        val records = batches.flatMap { toRecords(it) }
-        if (records.isNotEmpty()) {
-            segments.last().append(records)
-            segments.last().sync()
+        val records = ArrayList<Record>()
+        var bytes = 0
+        var newestSnapshot: Snapshot? = null
+        for (batch in batches) {
+            val replacesLog = batch.snapshot != null && batch.truncateAfter != null
+            if (replacesLog) {
+                // The entries that follow refer to this snapshot, so it must be on disk before them.
+                append(records)
+                bytes = 0
+                batch.snapshot?.let { saveSnapshot(it) }
+                newestSnapshot = null
+            } else if (batch.snapshot != null) {
+                newestSnapshot = batch.snapshot
+            }
+            for (record in toRecords(batch)) {
+                records += record
+                bytes += (record as? Record.Entry)?.entry?.payload?.size ?: 0
+                if (bytes < SYNC_BYTES) continue
+                append(records)
+                bytes = 0
+            }
         }
-        batches.mapNotNull { it.snapshot }.lastOrNull()?.let { saveSnapshot(it) }
+        append(records)
+        newestSnapshot?.let { saveSnapshot(it) }
+    }
+
+    /** Appends and syncs [records] as one unit and removes them from the list. */
+    private fun append(records: ArrayList<Record>) {
+        if (records.isEmpty()) return
+        if (segments.last().bytes >= segmentBytes) startNewSegment()
+        segments.last().append(records)
+        segments.last().sync()
+        records.clear()
     }
 
     private fun toRecords(batch: ReplicaEffect.Persist): List<Record> {
@@ -121,6 +147,8 @@
             folder.toAbsolutePath().parent?.let { FolderSync.sync(it) }
         }
 
+        /** A unit is encoded and decoded in memory as a whole. */
+        const val SYNC_BYTES = 512 * 1024
         const val PREFIX = "log-"
         const val SUFFIX = ".seg"
         const val NUMBER_DIGITS = 12
--- a/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
+++ b/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
@@ -71,6 +71,29 @@
         expectThat(segments().size).isEqualTo(3)
     }
 
+    // A power failure between the two left entries without the snapshot they follow, and the process could not start any more.
+    @Test
+    fun `writes no entries that follow an installed snapshot before the snapshot`() {
+        writeToStorage(batch(1, (1L..3L).map { entry(it) }))
+        Files.createDirectory(folder.resolve("snapshot.tmp"))
+        val snapshot = Snapshot(10, 1, Members(setOf(voter)), "state".toByteArray())
+        FileStorage(folder, segmentBytes = 200).use { storage ->
+            storage.recover()
+            val installed = batch(2, truncateAfter = 10, snapshot = snapshot)
+            expectThrows<IOException> { storage.write(listOf(installed, batch(3, listOf(entry(11))))) }
+        }
+        Files.delete(folder.resolve("snapshot.tmp"))
+        expectThat(recovered().entries.map { it.index }).isEqualTo(listOf(1L, 2L, 3L))
+    }
+
+    @Test
+    fun `syncs a write with much payload in several parts that are recovered in order`() {
+        val large = "x".repeat(300_000)
+        writeToStorage(batch(1, (1L..5L).map { entry(it, large) }, HardState(3, voter)), batch(2, (6L..7L).map { entry(it, large) }))
+        expectThat(recovered().entries.map { it.index }).isEqualTo((1L..7L).toList())
+        expectThat(recovered().hardState).isEqualTo(HardState(3, voter))
+    }
+
     @Test
     fun `recovers the same state when a batch is written twice because the first write failed`() {
         val batch = batch(2, (3L..4L).map { entry(it, "new") }, HardState(2, voter), truncateAfter = 2)
