--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -29,6 +29,8 @@
  * @property lostAfterMillis time without a connection after which another replica replaces a voter; with the time to detect the loss
  * and to change the members, within the time after which the deployment may lose another host.
  * @property snapshotEvery number of log entries between two snapshots.
+ * @property snapshotBytes payload bytes of committed entries after which a snapshot is made even if there are fewer entries: a start
+ * reads them all, and they stay in memory until then.
  */
 data class ControlConfig(
     val self: NodeIdentity,
@@ -38,6 +40,7 @@
     val dispatch: DispatchSettings = DispatchSettings(),
     val lostAfterMillis: Long = MembershipManager.DEFAULT_LOST_AFTER_MILLIS,
     val snapshotEvery: Long = 4_000,
+    val snapshotBytes: Long = 8L * 1024 * 1024,
     val heartbeatMillis: Long = 80,
     val electionMinMillis: Long = 400,
     val electionMaxMillis: Long = 650,
@@ -68,6 +71,8 @@
                 electionMaxMillis = config.electionMaxMillis,
                 maxAppendBytes = MAX_APPEND_BYTES,
                 maxInflight = MAX_INFLIGHT,
+                maxInflightBytes = MAX_INFLIGHT_BYTES,
+                keepBytes = config.snapshotBytes / 2,
                 snapshotChunkBytes = SNAPSHOT_CHUNK_BYTES,
                 seed = config.seed,
             ),
@@ -274,7 +279,16 @@
                 if (decision.answer is FlowAnswer.Refused) logRefusal(request, decision.answer)
                 answer(caller, decision.answer, now)
             }
-            is RequestDecision.Commit -> proposals.add(Proposal(decision.command, caller))
+            is RequestDecision.Commit -> {
+                val proposal = Proposal(decision.command, caller)
+                if (proposals.hasRoomFor(proposal)) {
+                    proposals.add(proposal)
+                } else {
+                    // Not a refusal: an earlier copy of the request may be among the commands in progress.
+                    log(NodeLogEvent.REQUEST_UNKNOWN, request.subject, "reason=commands in progress are too large")
+                    answer(caller, FlowAnswer.OutcomeUnknown, now)
+                }
+            }
         }
     }
 
@@ -368,7 +382,9 @@
         now: Long,
     ) {
         replica.handle(event, now).forEach { execute(it, now) }
-        if (replica.commitIndex - replica.snapshotIndex >= config.snapshotEvery) {
+        val isSnapshotDue =
+            replica.commitIndex - replica.snapshotIndex >= config.snapshotEvery || replica.bytesSinceSnapshot >= config.snapshotBytes
+        if (isSnapshotDue) {
             replica.handle(ReplicaEvent.Compact(replica.commitIndex, state.snapshot()), now).forEach { execute(it, now) }
         }
     }
@@ -498,6 +514,7 @@
         const val MAX_APPEND_BYTES = 48 * 1024
         const val SNAPSHOT_CHUNK_BYTES = 48 * 1024
         const val MAX_INFLIGHT = 24
+        const val MAX_INFLIGHT_BYTES = 512L * 1024
         const val STATUS_PERIOD_MILLIS = 400L
         const val MEMBERSHIP_CHECK_PERIOD_MILLIS = 200L
         const val SHUTDOWN_TIMEOUT_MILLIS = 2_000L
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ProposalTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ProposalTracker.kt
@@ -12,18 +12,35 @@
 internal class Proposal(
     val command: FlowCommand,
     val caller: Caller?,
-)
+) {
+    /** Size of the texts that make a command large. */
+    val textBytes: Long =
+        when (command) {
+            is FlowCommand.Configure ->
+                command.configuration.document.length
+                    .toLong()
+            is FlowCommand.Submit ->
+                command.request.payload.length
+                    .toLong()
+            else -> 0
+        }
+}
 
 /** Tracks commands until they are committed, and the callers that wait for them. */
 internal class ProposalTracker {
     private val queued = ArrayList<Proposal>()
     private val pendingByIndex = HashMap<Long, Proposal>()
+    private var textBytes = 0L
 
     /** Whether no appended command is waiting to be committed. */
     val isIdle: Boolean get() = pendingByIndex.isEmpty()
 
+    /** Whether [proposal] may be added: the commands in progress are held in memory several times. */
+    fun hasRoomFor(proposal: Proposal): Boolean = textBytes == 0L || textBytes + proposal.textBytes <= MAX_TEXT_BYTES
+
     fun add(proposal: Proposal) {
         queued += proposal
+        textBytes += proposal.textBytes
     }
 
     /** Returns the proposals added since the last call. */
@@ -31,6 +48,7 @@
         if (queued.isEmpty()) return emptyList()
         val result = ArrayList(queued)
         queued.clear()
+        textBytes -= result.sumOf { it.textBytes }
         return result
     }
 
@@ -38,21 +56,32 @@
     fun appended(
         first: Long,
         batch: List<Proposal>,
-    ) = batch.forEachIndexed { i, proposal -> pendingByIndex[first + i] = proposal }
+    ) = batch.forEachIndexed { i, proposal ->
+        pendingByIndex[first + i] = proposal
+        textBytes += proposal.textBytes
+    }
 
     /** Removes the [count] commands from index [first] on, which the log rejected. */
     fun rejected(
         first: Long,
         count: Int,
-    ) = repeat(count) { pendingByIndex.remove(first + it) }
+    ) = repeat(count) { remove(first + it) }
 
     /** Records that the entry at [index] is committed and returns the caller that waited for it, if any. */
-    fun committed(index: Long): Caller? = pendingByIndex.remove(index)?.caller
+    fun committed(index: Long): Caller? = remove(index)?.caller
+
+    private fun remove(index: Long): Proposal? = pendingByIndex.remove(index)?.also { textBytes -= it.textBytes }
 
     /** Drops all uncommitted commands after the loss of leadership and returns the callers whose outcome is unknown here. */
     fun abandonAll(): List<Caller> {
         val result = pendingByIndex.values.mapNotNull { it.caller }
+        textBytes -= pendingByIndex.values.sumOf { it.textBytes }
         pendingByIndex.clear()
         return result
     }
+
+    private companion object {
+        /** One configuration of the largest size that an operator may send. */
+        const val MAX_TEXT_BYTES = 4L * 1024 * 1024
+    }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
@@ -18,6 +18,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 
 @DisplayName("ControlNode")
 class ControlNodeSpec {
@@ -81,6 +82,49 @@
         }
     }
 
+    @Nested
+    @DisplayName("when large configurations arrive")
+    inner class LargeConfigurations {
+        private val document = "x".repeat(DOCUMENT_BYTES)
+
+        private fun configure(version: Long) =
+            NodeEvent.RequestReceived(version, FlowRequest.Configure(FlowFixture.configuration(version).copy(document = document)))
+
+        init {
+            lead()
+        }
+
+        // Some 120 changes of a large configuration filled the heap, and no process could start again from their log.
+        @Test
+        fun `covers the log with a snapshot before it holds too many bytes`() {
+            var bytes = 0L
+            var highest = 0L
+            for (version in 1L..CHANGES) {
+                now += TICK_MILLIS
+                for (persist in persisted(sync(handle(configure(version))))) {
+                    bytes += persist.batch.entries.sumOf { it.payload.size }
+                    highest = maxOf(highest, bytes)
+                    if (persist.batch.snapshot != null) bytes = 0
+                }
+            }
+            expectThat(node.flow.configuration?.version).isEqualTo(CHANGES)
+            expectThat(highest).isLessThanOrEqualTo(MAX_LOG_BYTES)
+        }
+
+        // Operators may have eight orders in progress, and each is held several times.
+        @Test
+        fun `leaves the outcome open when too many bytes are in progress`() {
+            val first = (1L..MAX_IN_PROGRESS + 1).flatMap { handle(configure(it)) }
+            expectThat(first.filterIsInstance<NodeEffect.Reply>()).isEmpty()
+            sync(first)
+            expectThat(node.flow.configuration?.version).isEqualTo(MAX_IN_PROGRESS)
+            // The router of the node asks again on its own.
+            now += TICK_MILLIS + 50
+            expectThat(sync(handle(NodeEvent.Tick)).filterIsInstance<NodeEffect.Reply>().map { it.answer })
+                .isEqualTo(listOf<FlowAnswer>(FlowAnswer.Done))
+        }
+    }
+
     @Test
     fun `forwards the latest report of each worker to the other control nodes in one go`() {
         val peer = NodeIdentity("10.0.0.2:7000", "z2", "10.0.0.2:7000#1")
@@ -111,5 +155,13 @@
         const val ADDRESS = "10.0.0.1:7000"
         const val TICK_MILLIS = 50L
         const val ELECTION_LIMIT_MILLIS = 5_000L
+        const val DOCUMENT_BYTES = 400_000
+        const val CHANGES = 120L
+
+        /** The bytes after which a snapshot is due, and one entry. */
+        const val MAX_LOG_BYTES = 9L * 1024 * 1024
+
+        /** Documents that fit into the 4 MiB of the largest call. */
+        const val MAX_IN_PROGRESS = 10L
     }
 }
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/FollowerProgress.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/FollowerProgress.kt
@@ -6,6 +6,17 @@
 ) {
     var matchIndex = 0L
     var inflightAppends = 0
+    private var resentFrom = nextIndex - 1
+
+    /** Index after which entries may be in flight. */
+    val windowStart: Long get() = maxOf(matchIndex, resentFrom)
+
+    /** Sends the entries from [index] on next; whatever was in flight is taken for lost. */
+    fun resendFrom(index: Long) {
+        nextIndex = index
+        resentFrom = index - 1
+        inflightAppends = 0
+    }
 
     /** Set while the follower is not responding: only empty appends are sent until it replies. */
     var probing = false
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/RaftLog.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/RaftLog.kt
@@ -7,6 +7,10 @@
 ) {
     private val entries = ArrayList<LogEntry>()
 
+    /** For each entry held, the payload bytes of it and of all entries appended before it since the start of the process. */
+    private val endOffsets = ArrayList<Long>()
+    private var baseOffset = 0L
+
     /** Index of the last compacted entry; the first entry held is the next one. */
     var baseIndex = snapshot?.index ?: 0L
         private set
@@ -14,7 +18,7 @@
     private var baseTerm = snapshot?.term ?: 0L
 
     init {
-        initial.filter { it.index > baseIndex }.forEach(entries::add)
+        initial.filter { it.index > baseIndex }.forEach(::add)
     }
 
     val lastIndex: Long get() = baseIndex + entries.size
@@ -32,19 +36,38 @@
 
     fun append(entry: LogEntry) {
         check(entry.index == lastIndex + 1) { "cannot append entry ${entry.index} after $lastIndex" }
+        add(entry)
+    }
+
+    private fun add(entry: LogEntry) {
+        endOffsets.add(offsetAfter(lastIndex) + entry.payload.size)
         entries.add(entry)
     }
 
+    private fun offsetAfter(index: Long): Long = if (index <= baseIndex) baseOffset else endOffsets[(index - baseIndex - 1).toInt()]
+
+    /** Payload bytes of the entries after [index] up to and including [last], as far as they are held. */
+    fun bytesBetween(
+        index: Long,
+        last: Long,
+    ): Long = maxOf(0, offsetAfter(minOf(last, lastIndex)) - offsetAfter(minOf(index, lastIndex)))
+
     /** Removes all entries after [index]. */
     fun truncateAfter(index: Long) {
-        while (lastIndex > index) entries.removeLast()
+        while (lastIndex > index) {
+            endOffsets.removeLast()
+            entries.removeLast()
+        }
     }
 
     /** Removes all entries up to and including [index]. */
     fun compactTo(index: Long) {
         if (index <= baseIndex) return
         val term = checkNotNull(termAt(index)) { "cannot compact up to $index: last index is $lastIndex" }
-        entries.subList(0, (index - baseIndex).toInt()).clear()
+        val count = (index - baseIndex).toInt()
+        baseOffset = offsetAfter(index)
+        entries.subList(0, count).clear()
+        endOffsets.subList(0, count).clear()
         baseIndex = index
         baseTerm = term
     }
@@ -54,7 +77,9 @@
         index: Long,
         term: Long,
     ) {
+        baseOffset = offsetAfter(lastIndex)
         entries.clear()
+        endOffsets.clear()
         baseIndex = index
         baseTerm = term
     }
@@ -79,6 +104,16 @@
         return selected
     }
 
+    /** Index before the longest suffix of at most [maxEntries] entries with at most [maxBytes] of payload. */
+    fun indexBeforeSuffix(
+        maxEntries: Int,
+        maxBytes: Long,
+    ): Long {
+        var index = lastIndex
+        while (index > baseIndex && lastIndex - index < maxEntries && bytesBetween(index - 1, lastIndex) <= maxBytes) index--
+        return index
+    }
+
     fun firstIndexOfTerm(
         term: Long,
         upTo: Long,
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/Replica.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/Replica.kt
@@ -63,6 +63,12 @@
     /** Index of the last entry covered by the latest snapshot; 0 without a snapshot. */
     val snapshotIndex: Long get() = latestSnapshot?.index ?: 0
 
+    /** Payload bytes of the committed entries that the latest snapshot does not cover. */
+    val bytesSinceSnapshot: Long get() = log.bytesBetween(snapshotIndex, commitIndex)
+
+    /** Payload bytes of the entries that are not committed yet. */
+    val uncommittedBytes: Long get() = log.bytesBetween(commitIndex, log.lastIndex)
+
     /** Handles [event] at [nowMillis] and returns the effects to carry out, in order. */
     fun handle(
         event: ReplicaEvent,
@@ -147,9 +153,9 @@
     private fun sendHeartbeat(to: ReplicaId) {
         val follower = progress.getValue(to)
         if (follower.lastReplyAt < now - 2 * config.heartbeatMillis) {
-            follower.inflightAppends = 0
             // A follower that has not replied in this term yet reports its log position with its first reply.
-            if (follower.lastReplyAt > Long.MIN_VALUE) follower.nextIndex = minOf(follower.nextIndex, follower.matchIndex + 1)
+            val hasReplied = follower.lastReplyAt > Long.MIN_VALUE
+            follower.resendFrom(if (hasReplied) minOf(follower.nextIndex, follower.matchIndex + 1) else follower.nextIndex)
             // Without probing, every heartbeat would resend all missing entries to an unreachable follower.
             follower.probing = true
         }
@@ -390,8 +396,7 @@
             follower.nextIndex = maxOf(follower.nextIndex, follower.matchIndex + 1)
             advanceCommit()
         } else {
-            follower.nextIndex = maxOf(follower.matchIndex + 1, minOf(follower.nextIndex, reply.matchIndex + 1))
-            follower.inflightAppends = 0
+            follower.resendFrom(maxOf(follower.matchIndex + 1, minOf(follower.nextIndex, reply.matchIndex + 1)))
         }
         if (role != Role.LEADER) return
         if (follower.nextIndex <= log.lastIndex) replicate(from, follower, forceSend = false)
@@ -442,17 +447,21 @@
             return
         }
         var sendOne = forceSend
-        while (sendOne || (follower.inflightAppends < config.maxInflight && follower.nextIndex <= log.lastIndex)) {
+        while (sendOne || (!isWindowFull(follower) && follower.nextIndex <= log.lastIndex)) {
             sendOne = false
             val prev = follower.nextIndex - 1
-            val windowFull = follower.inflightAppends >= config.maxInflight
-            val entries = if (windowFull) emptyList() else log.slice(follower.nextIndex, log.lastIndex, config.maxAppendBytes)
+            val entries =
+                if (isWindowFull(follower)) emptyList() else log.slice(follower.nextIndex, log.lastIndex, config.maxAppendBytes)
             send(to, Append(term, prev, checkNotNull(log.termAt(prev)), entries, commitIndex, now))
             follower.nextIndex += entries.size
             if (entries.isNotEmpty()) follower.inflightAppends++
         }
     }
 
+    private fun isWindowFull(follower: FollowerProgress): Boolean =
+        follower.inflightAppends >= config.maxInflight ||
+            log.bytesBetween(follower.windowStart, follower.nextIndex - 1) >= config.maxInflightBytes
+
     private fun sendSnapshot(
         to: ReplicaId,
         follower: FollowerProgress,
@@ -577,7 +586,7 @@
         val snapshot = Snapshot(index, snapshotTerm, membersAt(index), state)
         latestSnapshot = snapshot
         persist(snapshot = snapshot)
-        log.compactTo(minOf(index, log.lastIndex - config.keepEntries))
+        log.compactTo(minOf(index, log.indexBeforeSuffix(config.keepEntries, config.keepBytes)))
     }
 
     private fun membersAt(index: Long): Members {
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/LogSegment.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/LogSegment.kt
@@ -7,7 +7,6 @@
 import rhubarbknot.quorum.QuorumCodec
 import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
-import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption
 import java.util.zip.CRC32C
@@ -80,41 +79,41 @@
 
     override fun close() = channel.close()
 
-    /** Reads all records. If [isLast] is set, a torn batch at the end of the file is allowed and removed. */
+    /** Reads all records, one batch at a time. If [isLast] is set, a torn batch at the end of the file is allowed and removed. */
     fun readAll(
         isLast: Boolean,
         visit: (Record, Long) -> Unit,
     ) {
-        val buffer = ByteBuffer.wrap(Files.readAllBytes(path))
-        if (!checkHeader(buffer, isLast)) return
-        while (buffer.hasRemaining()) {
-            val offset = buffer.position()
-            val body = validBodyAt(buffer, offset)
+        val reader = SegmentReader(channel)
+        if (!checkHeader(reader, isLast)) return
+        var offset = HEADER_BYTES.toLong()
+        while (offset < reader.size) {
+            val body = reader.bodyAt(offset)
             if (body == null) {
-                handleInvalidBatch(buffer, offset, isLast)
+                handleInvalidBatch(reader, offset, isLast)
                 return
             }
             QuorumCodec.cbor.decodeFromByteArray(serializer, body).records.forEach { record ->
                 if (record is Record.Entry) lastIndex = maxOf(lastIndex, record.entry.index)
-                visit(record, offset.toLong())
+                visit(record, offset)
             }
-            buffer.position(offset + BATCH_HEADER_BYTES + body.size)
+            offset += BATCH_HEADER_BYTES + body.size
         }
     }
 
     private fun checkHeader(
-        buffer: ByteBuffer,
+        reader: SegmentReader,
         isLast: Boolean,
     ): Boolean {
-        if (buffer.remaining() < HEADER_BYTES) {
+        if (reader.size < HEADER_BYTES) {
             if (!isLast) throw CorruptFileException(path.toString(), 0, "incomplete segment header")
             truncate(0)
             writeHeader()
             return false
         }
-        val magic = buffer.getInt()
-        val version = buffer.getInt()
-        if (magic != MAGIC && isLast && countValidBatches(buffer, HEADER_BYTES) <= 1) {
+        val magic = reader.intAt(0)
+        val version = reader.intAt(Int.SIZE_BYTES.toLong())
+        if (magic != MAGIC && isLast && !reader.hasValidBatches(HEADER_BYTES.toLong(), 2)) {
             // The header is synced together with the first batch and before any other is written. With at most one valid
             // batch, a power failure may therefore have lost the header before that sync.
             truncate(0)
@@ -126,37 +125,17 @@
         return true
     }
 
-    private fun validBodyAt(
-        buffer: ByteBuffer,
-        offset: Int,
-    ): ByteArray? {
-        if (buffer.limit() - offset < BATCH_HEADER_BYTES) return null
-        val length = buffer.getInt(offset)
-        if (length <= 0 || length > buffer.limit() - offset - BATCH_HEADER_BYTES) return null
-        val body = ByteArray(length)
-        buffer.get(offset + BATCH_HEADER_BYTES, body)
-        return body.takeIf { checksum(it) == buffer.getInt(offset + 4) }
-    }
-
     private fun handleInvalidBatch(
-        buffer: ByteBuffer,
-        offset: Int,
+        reader: SegmentReader,
+        offset: Long,
         isLast: Boolean,
     ) {
-        if (!isLast ||
-            countValidBatches(buffer, offset + 1) > 0
-        ) {
-            throw CorruptFileException(path.toString(), offset.toLong(), "batch is truncated or does not match its checksum")
+        if (!isLast || reader.hasValidBatches(offset + 1, 1)) {
+            throw CorruptFileException(path.toString(), offset, "batch is truncated or does not match its checksum")
         }
-        truncate(offset.toLong())
+        truncate(offset)
     }
 
-    /** Counts the valid batches that start at any offset from [from] on. */
-    private fun countValidBatches(
-        buffer: ByteBuffer,
-        from: Int,
-    ): Int = (from..buffer.limit() - BATCH_HEADER_BYTES).count { validBodyAt(buffer, it) != null }
-
     private fun truncate(size: Long) {
         channel.truncate(size)
         channel.force(true)
@@ -177,14 +156,14 @@
         private const val MAGIC = 0x524B4C47
         private const val FORMAT_VERSION = 2
         private const val HEADER_BYTES = 8
-        private const val BATCH_HEADER_BYTES = 8
+        private const val BATCH_HEADER_BYTES = SegmentReader.BATCH_HEADER_BYTES
 
         fun create(path: Path): LogSegment {
             val channel = FileChannel.open(path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)
             return LogSegment(path, channel).also { it.writeHeader() }
         }
 
-        fun open(path: Path): LogSegment = LogSegment(path, FileChannel.open(path, StandardOpenOption.WRITE))
+        fun open(path: Path): LogSegment = LogSegment(path, FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE))
 
         fun checksum(bytes: ByteArray): Int = CRC32C().also { it.update(bytes) }.value.toInt()
     }
--- a/quorum/src/main/kotlin/rhubarbknot/quorum/disk/SnapshotFiles.kt
+++ b/quorum/src/main/kotlin/rhubarbknot/quorum/disk/SnapshotFiles.kt
@@ -20,14 +20,15 @@
         val body = QuorumCodec.cbor.encodeToByteArray(snapshot)
         val temp = folder.resolve("snapshot.tmp")
         FileChannel.open(temp, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE).use { channel ->
-            val buffer = ByteBuffer.allocate(HEADER_BYTES + body.size)
-            buffer
-                .putInt(MAGIC)
-                .putInt(FORMAT_VERSION)
-                .putInt(LogSegment.checksum(body))
-                .put(body)
-                .flip()
-            while (buffer.hasRemaining()) channel.write(buffer)
+            val header =
+                ByteBuffer
+                    .allocate(HEADER_BYTES)
+                    .putInt(MAGIC)
+                    .putInt(FORMAT_VERSION)
+                    .putInt(LogSegment.checksum(body))
+                    .flip()
+            val parts = arrayOf(header, ByteBuffer.wrap(body))
+            while (parts.any { it.hasRemaining() }) channel.write(parts)
             channel.force(true)
         }
         Files.move(temp, folder.resolve(fileNameOf(snapshot.index)), StandardCopyOption.ATOMIC_MOVE)
@@ -38,12 +39,11 @@
     /** Reads the latest snapshot, or returns null if there is none. */
     fun newest(): Snapshot? {
         val file = list().lastOrNull() ?: return null
-        val buffer = ByteBuffer.wrap(Files.readAllBytes(file))
-        if (buffer.remaining() < HEADER_BYTES || buffer.getInt() != MAGIC) throw CorruptFileException(file.toString(), 0, "not a snapshot")
-        val version = buffer.getInt()
+        val (header, body) = Files.newInputStream(file).use { ByteBuffer.wrap(it.readNBytes(HEADER_BYTES)) to it.readAllBytes() }
+        if (header.remaining() < HEADER_BYTES || header.getInt() != MAGIC) throw CorruptFileException(file.toString(), 0, "not a snapshot")
+        val version = header.getInt()
         if (version != FORMAT_VERSION) throw CorruptFileException(file.toString(), 4, "format version $version, expected $FORMAT_VERSION")
-        val expectedSum = buffer.getInt()
-        val body = ByteArray(buffer.remaining()).also { buffer.get(it) }
+        val expectedSum = header.getInt()
         if (LogSegment.checksum(body) != expectedSum) throw CorruptFileException(file.toString(), 8, "snapshot does not match its checksum")
         return QuorumCodec.cbor.decodeFromByteArray(body)
     }
--- a/quorum/src/test/kotlin/rhubarbknot/quorum/ReplicaSpec.kt
+++ b/quorum/src/test/kotlin/rhubarbknot/quorum/ReplicaSpec.kt
@@ -35,6 +35,28 @@
     private fun voteReplies(effects: List<ReplicaEffect>) =
         effects.filterIsInstance<ReplicaEffect.Send>().map { it.message }.filterIsInstance<VoteReply>()
 
+    /** Makes [this] the leader of term 1. */
+    private fun Replica.lead() {
+        while (role != Role.PRE_CANDIDATE) handleAfter(100, ReplicaEvent.Tick)
+        handle(ReplicaEvent.Received(b, VoteReply(term + 1, true, true)), now)
+        handle(ReplicaEvent.Received(b, VoteReply(term, true, false)), now)
+        check(isLeader)
+    }
+
+    // Twenty-four appends of half a megabyte each were in flight to each follower at once.
+    @Test
+    fun `sends no further entries while those in flight reach the window`() {
+        val payload = ByteArray(100_000)
+        val replica = Replica(ReplicaConfig(a, maxAppendBytes = 50_000, maxInflightBytes = 250_000), members, DurableState(), now)
+        replica.lead()
+        val effects = replica.handle(ReplicaEvent.Propose(List(20) { payload }), now)
+        val sent = effects.filterIsInstance<ReplicaEffect.Send>().filter { it.to == b }.map { it.message as Append }
+        expectThat(sent.sumOf { it.entries.size }).isEqualTo(3)
+        val next = replica.handle(ReplicaEvent.Received(b, AppendReply(replica.term, true, 2, now)), now)
+        val resumed = next.filterIsInstance<ReplicaEffect.Send>().filter { it.to == b }.flatMap { (it.message as Append).entries }
+        expectThat(resumed.map { it.index }).isEqualTo(listOf(5L))
+    }
+
     @Test
     fun `grants no vote right after a restart because it may have acknowledged a leader just before`() {
         val replica = replica()
--- a/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
+++ b/quorum/src/test/kotlin/rhubarbknot/quorum/disk/FileStorageSpec.kt
@@ -31,6 +31,10 @@
 
     private companion object {
         const val TORN_BYTES = 12
+
+        /** Payload of 50 MB. */
+        const val LARGE_ENTRIES = 100L
+        const val SMALL_HEAP = "32m"
     }
 
     private fun entry(
@@ -94,6 +98,30 @@
         expectThat(recovered().hardState).isEqualTo(HardState(3, voter))
     }
 
+    // The control nodes ran out of memory at each start once the log had grown by some hundred large configurations.
+    @Test
+    fun `recovers a log that is larger than the heap when a snapshot covers it`() {
+        val payload = "x".repeat(500_000)
+        FileStorage(folder, segmentBytes = Long.MAX_VALUE).use { storage ->
+            storage.recover()
+            for (i in 1L..LARGE_ENTRIES) storage.write(listOf(batch(i, listOf(entry(i, payload)))))
+            val snapshot = Snapshot(LARGE_ENTRIES, 1, Members(setOf(voter)), "state".toByteArray())
+            storage.write(listOf(batch(LARGE_ENTRIES + 1, snapshot = snapshot)))
+        }
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val classPath = System.getProperty("java.class.path")
+        val process =
+            ProcessBuilder(java, "-Xmx$SMALL_HEAP", "-cp", classPath, RecoveringProcess::class.java.name, folder.toString())
+                .redirectErrorStream(true)
+                .start()
+        try {
+            val output = process.inputStream.readAllBytes().decodeToString()
+            expectThat(output.trim()).isEqualTo("snapshot $LARGE_ENTRIES, 0 entries")
+        } finally {
+            process.destroyForcibly()
+        }
+    }
+
     @Test
     fun `recovers the same state when a batch is written twice because the first write failed`() {
         val batch = batch(2, (3L..4L).map { entry(it, "new") }, HardState(2, voter), truncateAfter = 2)
