--- a/core/src/main/kotlin/rhubarbknot/core/model/Resources.kt
+++ b/core/src/main/kotlin/rhubarbknot/core/model/Resources.kt
@@ -17,14 +17,33 @@
     val accelerators: Int = 0,
     val slots: Int = 0,
 ) {
+    /** Sum in every dimension, at most [Int.MAX_VALUE], so that a sum never looks smaller than its parts. */
     operator fun plus(other: Resources) =
-        Resources(milliCpus + other.milliCpus, memoryMb + other.memoryMb, accelerators + other.accelerators, slots + other.slots)
+        Resources(
+            sum(milliCpus, other.milliCpus),
+            sum(memoryMb, other.memoryMb),
+            sum(accelerators, other.accelerators),
+            sum(slots, other.slots),
+        )
 
     operator fun minus(other: Resources) =
         Resources(milliCpus - other.milliCpus, memoryMb - other.memoryMb, accelerators - other.accelerators, slots - other.slots)
 
-    /** Multiplies every dimension by [factor]. */
-    operator fun times(factor: Int) = Resources(milliCpus * factor, memoryMb * factor, accelerators * factor, slots * factor)
+    /** Multiplies every dimension by [factor]; at most [Int.MAX_VALUE]. */
+    operator fun times(factor: Int) =
+        Resources(
+            bounded(milliCpus.toLong() * factor),
+            bounded(memoryMb.toLong() * factor),
+            bounded(accelerators.toLong() * factor),
+            bounded(slots.toLong() * factor),
+        )
+
+    private fun sum(
+        a: Int,
+        b: Int,
+    ): Int = bounded(a.toLong() + b)
+
+    private fun bounded(value: Long): Int = value.coerceIn(Int.MIN_VALUE.toLong(), Int.MAX_VALUE.toLong()).toInt()
 
     /** Whether this does not exceed [available] in any dimension. */
     fun fitsIn(available: Resources): Boolean =
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
@@ -72,6 +72,9 @@
         private const val LATE_FACTOR = 3
         private const val WORKERS_PER_REQUEST = 30
 
+        /** A thousand years; times that are computed from it must not overflow. */
+        private const val MAX_ALLOWED_MILLIS = 366_000L * 24 * 3_600_000
+
         /** Computes the timing of [job] on [queue] from the learned [durations]. */
         fun of(
             job: Job,
@@ -85,7 +88,8 @@
                 val successorMillis = steps.indices.filter { i in steps[it].after }.maxOfOrNull { remainingMillis[it] } ?: 0
                 remainingMillis[i] = eligibilityMillis + durations.expectedMillis(queue.name, steps[i]) + successorMillis
             }
-            val allowedMillis = (queue.slackFactor * (remainingMillis.maxOrNull() ?: 0)).toLong() + queue.targetMillis
+            val stretchedMillis = (queue.slackFactor * (remainingMillis.maxOrNull() ?: 0)).toLong()
+            val allowedMillis = minOf(stretchedMillis, MAX_ALLOWED_MILLIS) + minOf(queue.targetMillis, MAX_ALLOWED_MILLIS)
             return JobTiming(
                 objectiveAt = job.acceptedAtMillis + allowedMillis,
                 uselessAfter = job.acceptedAtMillis + LATE_FACTOR * allowedMillis,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunDurationEstimator.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunDurationEstimator.kt
@@ -26,12 +26,15 @@
         spec: StepSpec,
     ): Long {
         if (spec.estimatedMillis <= 0) return DEFAULT_MILLIS
-        return (spec.estimatedMillis * exp(logRatios[queue] ?: 0.0)).toLong()
+        return (spec.estimatedMillis * exp(logRatios[queue] ?: 0.0)).toLong().coerceAtMost(MAX_MILLIS)
     }
 
     private companion object {
         const val SMOOTHING_FACTOR = 0.02
 
+        /** A year; sums of durations must not overflow. */
+        const val MAX_MILLIS = 366L * 24 * 3_600_000
+
         /** Assumed for tasks whose caller gave no estimate. */
         const val DEFAULT_MILLIS = 1_000L
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/model/JobRequest.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/model/JobRequest.kt
@@ -16,7 +16,12 @@
     val team: String,
     val payload: String,
     val steps: List<StepSpec>,
-)
+) {
+    companion object {
+        /** Largest number of tasks of all steps together: each is an object in the memory of every control node. */
+        const val MAX_TASKS = 10_000
+    }
+}
 
 /**
  * A step of a job: a number of identical tasks.
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
@@ -64,7 +64,9 @@
     }
 
     private fun areValidSteps(steps: List<StepSpec>): Boolean =
-        steps.isNotEmpty() && steps.withIndex().all { (i, step) -> step.count > 0 && step.after.all { it in 0 until i } }
+        steps.isNotEmpty() &&
+            steps.sumOf { it.count.toLong() } <= JobRequest.MAX_TASKS &&
+            steps.withIndex().all { (i, step) -> step.count > 0 && step.after.all { it in 0 until i } }
 
     private fun readState(
         queue: Queue,
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
@@ -154,6 +154,6 @@
     }
 
     private companion object {
-        const val MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+        const val MAX_RESPONSE_BYTES = 2 * 1024 * 1024
     }
 }
--- a/wire/src/main/kotlin/rhubarbknot/wire/Addresses.kt
+++ b/wire/src/main/kotlin/rhubarbknot/wire/Addresses.kt
@@ -18,4 +18,14 @@
 data class HostPort(
     val host: String,
     val port: Int,
-)
+) {
+    /** Whether [host] is an IPv4 address in dotted decimal notation, so that it needs no lookup. */
+    val isIpv4: Boolean get() = host.split('.').let { parts -> parts.size == IPV4_PARTS && parts.all { isIpv4Part(it) } }
+
+    private fun isIpv4Part(text: String): Boolean = text.length in 1..3 && text.all { it in '0'..'9' } && text.toInt() <= MAX_IPV4_PART
+
+    private companion object {
+        const val IPV4_PARTS = 4
+        const val MAX_IPV4_PART = 255
+    }
+}
