--- a/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
@@ -38,6 +38,7 @@
     ZONE_CHANGED,
     REQUEST_REFUSED,
     REQUEST_UNKNOWN,
+    REQUEST_ABANDONED,
     CALL_FAILED,
     LINES_DROPPED,
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
@@ -21,6 +21,9 @@
     /** Subject of log lines about the request. */
     val subject: String
 
+    /** Time after its arrival for which the request may still be passed on, in milliseconds. */
+    val validMillis: Long get() = REPEATABLE_VALID_MILLIS
+
     @Serializable
     @SerialName("submit")
     data class Submit(
@@ -69,6 +72,7 @@
         val drained: Boolean,
     ) : FlowRequest {
         override val subject: String get() = zone
+        override val validMillis: Long get() = UNMARKED_VALID_MILLIS
     }
 
     @Serializable
@@ -85,6 +89,18 @@
         val worker: String,
     ) : FlowRequest {
         override val subject: String get() = worker
+        override val validMillis: Long get() = UNMARKED_VALID_MILLIS
+    }
+
+    companion object {
+        /** For requests whose late copy does no harm. */
+        const val REPEATABLE_VALID_MILLIS = 10_000L
+
+        /**
+         * For requests that carry nothing to tell a late copy from a newer request: the time after which their senders ask
+         * another node.
+         */
+        const val UNMARKED_VALID_MILLIS = 1_000L
     }
 }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
@@ -92,6 +92,7 @@
         now: Long,
     ): Action? {
         val to = leader ?: return null
+        if (now - entry.receivedAt > entry.request.validMillis) return null
         if (entry.sentTo != null && now - entry.sentAt < RESEND_AFTER_MILLIS) return null
         if (now < entry.retryAt) return null
         entry.sentTo = to
@@ -109,7 +110,7 @@
             val age = now - entry.receivedAt
             val answer =
                 when {
-                    entry.mayHaveRun && age > UNKNOWN_OUTCOME_MILLIS -> FlowAnswer.OutcomeUnknown
+                    entry.mayHaveRun && age > minOf(UNKNOWN_OUTCOME_MILLIS, entry.request.validMillis) -> FlowAnswer.OutcomeUnknown
                     !entry.mayHaveRun &&
                         (
                             age > ELECTION_TIMEOUT_MILLIS ||
--- a/flow/src/test/kotlin/rhubarbknot/flow/RequestRouterSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RequestRouterSpec.kt
@@ -52,6 +52,18 @@
         expectThat(replies(router.tick(2_500)).single()).isEqualTo(FlowAnswer.OutcomeUnknown)
     }
 
+    // A zone that had been put back was taken out again when a paused node passed on the earlier order.
+    @Test
+    fun `passes an order without a version on no longer than its sender waits`() {
+        val order = FlowRequest.SetZone("z", drained = true)
+        expectThat(forwards(router.submit(1, order, 0))).isEmpty()
+        expectThat(forwards(router.leaderChanged("a", 1_100))).isEmpty()
+        expectThat(replies(router.tick(1_250)).single()).isEqualTo(FlowAnswer.Refused(Refusal.NO_LEADER, 1_000))
+        expectThat(forwards(router.submit(2, order, 2_000))).isEqualTo(listOf("a"))
+        expectThat(forwards(router.leaderChanged("b", 7_000))).isEmpty()
+        expectThat(replies(router.tick(7_000)).single()).isEqualTo(FlowAnswer.OutcomeUnknown)
+    }
+
     @Test
     fun `refuses a request as not run when the only leader that received it refused it`() {
         router.leaderChanged("a", 0)
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpMessages.kt
@@ -5,13 +5,24 @@
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readUTF8Line
 
-/** A request with its complete body. */
+/**
+ * A request with its complete body.
+ *
+ * @param isClosed whether the client has closed the connection.
+ */
 class HttpRequest(
     val method: String,
     val path: String,
     val body: ByteArray,
     private val headers: HttpHeadersMap?,
+    private val isClosed: () -> Boolean = { false },
 ) {
+    /**
+     * Whether the client no longer waits for an answer: it has closed the connection. A client that times out does so, and may
+     * have sent the same request to another node since. That is noticed shortly after the request was read, not at once.
+     */
+    val isAbandoned: Boolean get() = isClosed()
+
     fun header(name: String): String? = headers?.get(name)?.toString()
 }
 
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpServer.kt
@@ -186,7 +186,7 @@
             out.flush()
         }
         val body = withTimeout(bounds.idleTimeoutMillis) { HttpBody.read(input, head.headers, bounds.maxBodyBytes) }
-        return HttpRequest(head.method.value, head.uri.toString(), body, head.headers)
+        return HttpRequest(head.method.value, head.uri.toString(), body, head.headers, isClosed = { input.isClosedForRead })
     }
 
     private suspend fun write(
