--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -68,6 +68,9 @@
                 RunStage.RUNNING, RunStage.INHERITED -> true
             }
 
+    /** Whether this is a run without an end that has run for long enough to show that its worker can run it. */
+    fun hasLasted(now: Long): Boolean = spec.lasting && confirmedAt <= now - LASTING_PROOF_MILLIS
+
     /** Progress that the worker reports for the run. */
     val progress = RunProgress()
 
@@ -94,4 +97,9 @@
         ending = true
         endListedAt = now
     }
+
+    private companion object {
+        /** Longer than the startup of a lasting task takes. */
+        const val LASTING_PROOF_MILLIS = 2_000L
+    }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTrust.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTrust.kt
@@ -2,7 +2,7 @@
 
 /**
  * Reliability record of a worker. A worker whose runs fail, stall or are slow gets no new runs for a while, then one run
- * at a time until one succeeds. This limits the damage of a worker that reports itself healthy but uses up the attempts
+ * at a time until one succeeds. A lasting run never succeeds; it stops counting as that one once it has run for a while. This limits the damage of a worker that reports itself healthy but uses up the attempts
  * of every task that it gets.
  */
 internal class WorkerTrust {
@@ -55,7 +55,7 @@
         when {
             now < distrustedUntil -> 0
             !onProbation -> Int.MAX_VALUE
-            worker.runs.values.any { it.proposedAt >= distrustedUntil } -> 0
+            worker.runs.values.any { it.proposedAt >= distrustedUntil && !it.hasLasted(now) } -> 0
             else -> 1
         }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/SchedulingOrderSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/SchedulingOrderSpec.kt
@@ -229,6 +229,28 @@
             expectThat(startCalls(dispatchAll(100))).hasSize(1)
         }
 
+        // A lasting task took the one run, which never succeeds, and nothing else was ever started on the worker.
+        @Test
+        fun `gets further runs after failures although the first new run lasts`() {
+            registerWorkers("w1")
+            submit("x")
+            submit("y")
+            startCalls(dispatchAll(200)).forEach { reportEnd(it, RunOutcome.FAILED) }
+            submit("lasting", spec = step().copy(lasting = true))
+            now += settings.distrustMillis + 100
+            dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
+            val started = ArrayList<WorkerCall.Start>()
+            repeat(30) { round ->
+                dispatcher.workerReported(report("w1", clockMillis = now, sequence = 3L + round), now)
+                startCalls(dispatchAll(200)).forEach { start ->
+                    started += start
+                    dispatcher.workerReplied(start, WorkerReply.Done(now), now, now)
+                    if (start.run.task.job != "lasting") reportEnd(start)
+                }
+            }
+            expectThat(started.map { it.run.task.job }.toSet()).isEqualTo(setOf("lasting", "x", "y"))
+        }
+
         @Test
         fun `is not distrusted for the failures of a single job`() {
             registerWorkers("w1")
