--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -27,7 +27,7 @@
     private val failures = StepFailures()
     private val eligibility = EligibilityTracker()
     private val runs = RunTracker(state, usage, effects)
-    private val workers = WorkerTracker(settings, startedAt, runs, effects)
+    private val workers = WorkerTracker(settings, term, startedAt, runs, effects)
     private val callScheduler = WorkerCallScheduler(state, settings, term, runs, workers, LeaseManager(settings), effects)
     private val replyHandler =
         WorkerReplyHandler(state, settings, term, runs, workers, eligibility, ProgressMonitor(settings, durations, runs, effects), effects)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -127,7 +127,15 @@
         // The worker would immediately list ends again that are not committed yet.
         if (worker.fenced && worker.lastProposedEnd > worker.lastCommittedEnd) return
         val isLeaveDue = worker.isLeaveDue(now, settings.departureMillis)
-        if (worker.fenced && !hasCommittedRuns && !hasUnacknowledgedEnds && !isLeaveDue && !mayBeReachable(worker, now)) return
+        if (worker.fenced &&
+            !hasCommittedRuns &&
+            !hasUnacknowledgedEnds &&
+            !isLeaveDue &&
+            !worker.addressDoubted &&
+            !mayBeReachable(worker, now)
+        ) {
+            return
+        }
         worker.renewInFlight = true
         val canWait = worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns && !isLeaveDue
         val waitMillis = if (canWait) renewWaitMillis(worker) else 0
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -38,6 +38,12 @@
      */
     var leftAt = Long.MAX_VALUE
 
+    /** Whether another worker has reported this one's address, and this one has not answered there since. */
+    var addressDoubted = false
+
+    /** The call in flight that asks who is at the address, besides the renewals of the lease. */
+    var addressProbe: WorkerCall.Renew? = null
+
     /** Highest end number that is committed to the log. */
     var lastCommittedEnd = 0L
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -161,7 +161,7 @@
         sentAt: Long,
         now: Long,
     ) {
-        worker.renewInFlight = false
+        if (call == worker.addressProbe) worker.addressProbe = null else worker.renewInFlight = false
         if (reply !is WorkerReply.Runs) {
             worker.renewDueAt =
                 now + if (reply == WorkerReply.NoResponse && worker.unansweredCalls <= 1) RESEND_MILLIS else settings.retryMillis
@@ -174,6 +174,7 @@
         }
         worker.runsListedAt = now
         worker.suspectedCrash = null
+        workers.confirmAddress(worker)
         if (worker.isLeaveDue(sentAt, settings.departureMillis)) workers.cancelLeaving(worker)
         // Other responses do not tell whether the worker has restarted under its id.
         worker.markSurvivedStarts(now - settings.startSurvivalMillis)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -8,6 +8,7 @@
 /** Tracks known workers with one record per incarnation, and decides which of them may get runs. */
 internal class WorkerTracker(
     private val settings: DispatchSettings,
+    private val term: Long,
     private val startedAt: Long,
     private val runs: RunTracker,
     private val effects: EffectBuffer,
@@ -74,7 +75,7 @@
         byAddress[report.address]
             .orEmpty()
             .filter { it.incarnation.id != report.life.id && it.incarnation.born < report.life.born }
-            .forEach { markTerminated(it, now, "address reused by ${report.life.id}") }
+            .forEach { verifyAddress(it) }
         val record = getOrAdd(report.life, now)
         predecessors.forEach { replaceIncarnation(it, report.life, now) }
         val previous = record.report
@@ -88,6 +89,27 @@
         touch(record)
     }
 
+    /**
+     * Asks at the address of [worker], which a later worker has reported as its own, who is there: the report may come from another
+     * writer. Until the answer, [worker] gets no more runs.
+     */
+    private fun verifyAddress(worker: WorkerRecord) {
+        val address = worker.report?.address
+        if (worker.terminated || worker.addressProbe != null || address == null) return
+        val probe = WorkerCall.Renew(worker.incarnation, address, term, lastSeen = 0, deadlineMillis = null, waitMillis = 0)
+        worker.addressProbe = probe
+        worker.addressDoubted = true
+        changes++
+        effects.call(probe, settings.callTimeoutMillis)
+    }
+
+    /** Records that [worker] has listed its runs, so it is still at its address. */
+    fun confirmAddress(worker: WorkerRecord) {
+        if (!worker.addressDoubted) return
+        worker.addressDoubted = false
+        changes++
+    }
+
     /**
      * Gives no more runs to the worker called [id] until it is known which of its incarnations has left: a late message of an
      * earlier incarnation must not end the runs of a later one. An incarnation that refuses connections has ended, and so has a
@@ -148,6 +170,7 @@
         return worker.fenced &&
             !worker.terminated &&
             !worker.isLeaving &&
+            !worker.addressDoubted &&
             !report.draining &&
             report.zone !in drainedZones &&
             worker.unansweredCalls == 0 &&
