--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -51,6 +51,9 @@
     /** Number of workers that may get runs at [now] and number of all known workers, for status pages. */
     fun workerCounts(now: Long): Pair<Int, Int> = workers.all.count { workers.isUsable(it, state.drainedZones, now) } to workers.all.size
 
+    /** Number of jobs of [queue] that have been assigned to workers but of which no run is known to have started. */
+    fun unstartedJobs(queue: String): Int = runs.unstartedJobs(queue)
+
     /** Returns and removes the effects requested since the last call. */
     fun drain(): List<DispatchEffect> = effects.drain()
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -7,6 +7,7 @@
 import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
+import rhubarbknot.flow.state.JobPhase
 
 /** Indexes the runs that may exist by task and by job, and keeps the resource usage of teams up to date. */
 internal class RunTracker(
@@ -18,6 +19,9 @@
     private val byJob = HashMap<String, LinkedHashSet<RunRecord>>()
     private val countByStep = HashMap<StepKey, Int>()
 
+    /** Unfinished jobs of which a run is known to have started, or may have been started by an earlier leader. */
+    private val startedJobs = HashSet<String>()
+
     /** Number of runs removed so far; a change means that resources may have become free. */
     var removals = 0L
         private set
@@ -51,8 +55,26 @@
         worker.add(record)
         usage.add(record.team, record.demand)
         if (job.phase.isFinal) record.stopWanted = true
+        if (stage == RunStage.INHERITED) markStarted(record)
+    }
+
+    /** Records that [record] has started. */
+    fun markStarted(record: RunRecord) {
+        val job = record.run.task.job
+        if (state.job(job)?.phase?.isFinal == false) startedJobs += job
     }
 
+    /** Drops what is only needed while [job] is unfinished. */
+    fun forgetStarted(job: String) {
+        startedJobs -= job
+    }
+
+    /** Number of jobs of [queue] that have been assigned to workers but of which no run is known to have started. */
+    fun unstartedJobs(queue: String): Int =
+        state.liveJobs.count { job ->
+            job.phase == JobPhase.RUNNING && job.request.queue == queue && job.id !in startedJobs && job.steps.none { it.left < it.tasks.size }
+        }
+
     fun untrack(record: RunRecord) {
         if (byTask[record.run.task] !== record) return
         byTask.remove(record.run.task)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -104,6 +104,7 @@
         record.stage = RunStage.RUNNING
         record.startUncertain = false
         record.confirmedAt = now
+        runs.markStarted(record)
         effects.logEvent(
             DispatchEvent.RUN_STARTED,
             record.run.task.toString(),
@@ -217,6 +218,7 @@
             record.stage = RunStage.RUNNING
             record.startUncertain = false
             record.confirmedAt = minOf(record.confirmedAt, now)
+            runs.markStarted(record)
         }
     }
 
@@ -228,7 +230,10 @@
         val newEnds = reply.ended.filter { it.number > worker.lastProposedEnd }
         if (newEnds.isEmpty()) return
         worker.lastProposedEnd = newEnds.maxOf { it.number }
-        newEnds.forEach { numbered -> runs.of(numbered.end.run)?.markEndListed(now) }
+        newEnds.mapNotNull { runs.of(it.end.run) }.forEach { record ->
+            record.markEndListed(now)
+            runs.markStarted(record)
+        }
         effects.propose(FlowCommand.Ended(newEnds.map { it.end }, now, worker.incarnation, worker.lastProposedEnd))
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -58,7 +58,7 @@
 
     fun job(id: String): Job? = jobs[id]
 
-    /** Number of jobs in [queue] that have not started any run. */
+    /** Number of jobs in [queue] of which no run was ever assigned to a worker. */
     fun pending(queue: String): Int = queuedCounts[queue] ?: 0
 
     /** Tasks of which a run may exist on [worker], with the run numbers. */
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -332,6 +332,26 @@
             expectThat(next.run.number).isEqualTo(2)
         }
 
+        // Jobs that waited for a silent worker were missing from the count of pending jobs.
+        @Test
+        fun `counts a job as pending until a worker has confirmed one of its runs`() {
+            val start = submitAndStart()
+            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(1)
+            expectThat(dispatcher.unstartedJobs("other")).isEqualTo(0)
+            reply(start, WorkerReply.NotSent)
+            val next = startCalls(dispatchAll(300)).single()
+            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(1)
+            reply(next, WorkerReply.Done(now))
+            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(0)
+        }
+
+        @Test
+        fun `does not count a job of an earlier leader's runs as pending`() {
+            submitAndStart()
+            dispatcher = Dispatcher(state, settings, term = 2, startedAt = now)
+            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(0)
+        }
+
         @Test
         fun `retries an idle worker after a lost call and starts runs on it once it responds`() {
             registerWorkers("w1")
