--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -72,7 +72,10 @@
     /** Number of jobs of [queue] that have been assigned to workers but of which no run is known to have started. */
     fun unstartedJobs(queue: String): Int =
         state.liveJobs.count { job ->
-            job.phase == JobPhase.RUNNING && job.request.queue == queue && job.id !in startedJobs && job.steps.none { it.left < it.tasks.size }
+            job.phase == JobPhase.RUNNING &&
+                job.request.queue == queue &&
+                job.id !in startedJobs &&
+                job.steps.none { it.left < it.tasks.size }
         }
 
     fun untrack(record: RunRecord) {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -170,6 +170,6 @@
 
     private companion object {
         /** Lower bound for the time that a worker takes to restart. */
-        const val MIN_RESTART_MILLIS = 500L
+        const val MIN_RESTART_MILLIS = 150L
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTrust.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTrust.kt
@@ -2,8 +2,8 @@
 
 /**
  * Reliability record of a worker. A worker whose runs fail, stall or are slow gets no new runs for a while, then one run
- * at a time until one succeeds. A lasting run never succeeds; it stops counting as that one once it has run for a while. This limits the damage of a worker that reports itself healthy but uses up the attempts
- * of every task that it gets.
+ * at a time until one succeeds. A lasting run never succeeds; it stops counting as that one once it has run for a while.
+ * This limits the damage of a worker that reports itself healthy but uses up the attempts of every task that it gets.
  */
 internal class WorkerTrust {
     /** No new runs are started on the worker before this time. */
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -469,6 +469,25 @@
             expectThat(dispatchAll(10).filterIsInstance<WorkerCall.Renew>().single { it.worker == start.worker }.lastSeen).isEqualTo(1)
             expectThat(state.job("a")?.phase).isEqualTo(JobPhase.COMPLETED)
         }
+
+        // A worker that restarted under its id dropped an end that was never seen, and the task ran again.
+        @Test
+        fun `acknowledges no end when the worker may have restarted since it listed its runs`() {
+            val start = submitAndStart()
+            reply(start, WorkerReply.Done(now))
+            val renewal = sentCalls.filterIsInstance<WorkerCall.Renew>().single { it.worker == start.worker }
+            reply(renewal, runsReply(ended = listOf(NumberedRunEnd(1, FlowFixture.end(start.run)))))
+            dispatcher.dispatchDue(now)
+            val ended =
+                dispatcher
+                    .drain()
+                    .filterIsInstance<DispatchEffect.Propose>()
+                    .single()
+                    .command
+            now += FASTEST_RESTART_MILLIS
+            dispatcher.commandApplied(ended, state.apply(ended), now)
+            expectThat(dispatchAll().filterIsInstance<WorkerCall.Renew>().first { it.worker == start.worker }.lastSeen).isEqualTo(0)
+        }
     }
 
     @Nested
@@ -541,5 +560,8 @@
 
     private companion object {
         const val ROUNDS = 4
+
+        /** The shortest time in which a worker of the simulation restarts, in milliseconds. */
+        const val FASTEST_RESTART_MILLIS = 200L
     }
 }
