--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchEffect.kt
@@ -1,5 +1,7 @@
 package rhubarbknot.flow.dispatch
 
+import rhubarbknot.flow.model.EventVolume
+import rhubarbknot.flow.model.LoggedEvent
 import rhubarbknot.flow.state.FlowCommand
 
 /** An action that a [Dispatcher] requests from its driver. */
@@ -27,13 +29,15 @@
 }
 
 /** Decisions and observations of a [Dispatcher] that are recorded for operators. */
-enum class DispatchEvent {
-    STEP_WAITS,
-    RUNS_ASSIGNED,
-    RUN_STARTED,
-    RUN_ENDED,
+enum class DispatchEvent(
+    override val volume: EventVolume = EventVolume.KEY,
+) : LoggedEvent {
+    STEP_WAITS(EventVolume.PLENTIFUL),
+    RUNS_ASSIGNED(EventVolume.PLENTIFUL),
+    RUN_STARTED(EventVolume.PLENTIFUL),
+    RUN_ENDED(EventVolume.PLENTIFUL),
     RUN_LOST,
-    RUN_REFUSED,
+    RUN_REFUSED(EventVolume.PLENTIFUL),
     RUN_STALLED,
     RUN_STOP_WANTED,
     START_UNANSWERED,
@@ -46,7 +50,7 @@
     WORKER_CRASHED,
     LEASE_WAITED_OUT,
     FENCED_OUT,
-    JOB_OVER,
+    JOB_OVER(EventVolume.PLENTIFUL),
 }
 
 /** Collects [DispatchEffect]s in the order in which they must be executed. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -355,7 +355,7 @@
                 }
                 is DispatchEffect.LogEvent ->
                     effects +=
-                        NodeEffect.LogEvent(EventLogEntry(effect.event.name, effect.subject, effect.detail, effect.durationMillis))
+                        NodeEffect.LogEvent(EventLogEntry(effect.event, effect.subject, effect.detail, effect.durationMillis))
             }
         }
 
@@ -498,7 +498,7 @@
         subject: String,
         detail: String = "",
     ) {
-        effects += NodeEffect.LogEvent(EventLogEntry(event.name, subject, detail))
+        effects += NodeEffect.LogEvent(EventLogEntry(event, subject, detail))
     }
 
     private companion object {
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
@@ -1,5 +1,8 @@
 package rhubarbknot.flow.node
 
+import rhubarbknot.flow.model.EventVolume
+import rhubarbknot.flow.model.LoggedEvent
+
 /**
  * One line of the event log.
  *
@@ -8,14 +11,16 @@
  * @property durationMillis duration of the logged operation, for latency histograms; null when it is not measured.
  */
 data class EventLogEntry(
-    val event: String,
+    val event: LoggedEvent,
     val subject: String,
     val detail: String = "",
     val durationMillis: Long? = null,
 )
 
 /** Events of a process itself; events between the leader and the workers are in `DispatchEvent`. */
-enum class NodeLogEvent {
+enum class NodeLogEvent(
+    override val volume: EventVolume = EventVolume.KEY,
+) : LoggedEvent {
     STARTED,
     STOPPING,
     STOPPED,
@@ -29,16 +34,16 @@
     MEMBERS_PROPOSED,
     DISK_FAILED,
     DISK_REGAINED,
-    ELIGIBILITY_FAILED,
-    JOB_ACCEPTED,
-    JOB_REFUSED,
-    JOB_CANCELLED,
+    ELIGIBILITY_FAILED(EventVolume.PLENTIFUL),
+    JOB_ACCEPTED(EventVolume.PLENTIFUL),
+    JOB_REFUSED(EventVolume.PLENTIFUL),
+    JOB_CANCELLED(EventVolume.PLENTIFUL),
     CONFIGURATION_APPLIED,
-    CONFIGURATION_REFUSED,
+    CONFIGURATION_REFUSED(EventVolume.PLENTIFUL),
     ZONE_CHANGED,
-    REQUEST_REFUSED,
-    REQUEST_UNKNOWN,
-    REQUEST_ABANDONED,
-    CALL_FAILED,
+    REQUEST_REFUSED(EventVolume.PLENTIFUL),
+    REQUEST_UNKNOWN(EventVolume.PLENTIFUL),
+    REQUEST_ABANDONED(EventVolume.PLENTIFUL),
+    CALL_FAILED(EventVolume.PLENTIFUL),
     LINES_DROPPED,
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/GatewayNode.kt
@@ -135,7 +135,7 @@
         subject: String,
         detail: String = "",
     ) {
-        effects += NodeEffect.LogEvent(EventLogEntry(event.name, subject, detail))
+        effects += NodeEffect.LogEvent(EventLogEntry(event, subject, detail))
     }
 
     private class ReceivedStatus(
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -84,7 +84,7 @@
     private val workerClient = workers(httpClient)
     private val eligibilityClient = eligibility(httpClient)
     private val links =
-        PeerLinks(self, trafficScope, selector, this) { recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED.name, self.address, it)) }
+        PeerLinks(self, trafficScope, selector, this) { recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED, self.address, it)) }
     private val clock = MonotonicClock()
     private val events = Channel<NodeEvent>(Channel.UNLIMITED)
     private val persistQueue = Channel<NodeEffect.Persist>(Channel.UNLIMITED)
@@ -126,7 +126,7 @@
                 delay(tickMillis)
             }
         }
-        recordEvent(EventLogEntry(NodeLogEvent.STARTED.name, self.address, "zone=${self.zone} replica=${self.replica}"))
+        recordEvent(EventLogEntry(NodeLogEvent.STARTED, self.address, "zone=${self.zone} replica=${self.replica}"))
     }
 
     /** Writes [entry] to the event log and counts it. */
@@ -156,7 +156,7 @@
 
     /** Hands leadership over and returns once no work is in progress. */
     suspend fun shutDown() {
-        recordEvent(EventLogEntry(NodeLogEvent.STOPPING.name, self.address))
+        recordEvent(EventLogEntry(NodeLogEvent.STOPPING, self.address))
         events.trySend(NodeEvent.Shutdown)
         shutdownComplete.await()
     }
@@ -236,7 +236,7 @@
                 currentCoroutineContext().ensureActive()
                 null
             } catch (e: Exception) {
-                recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED.name, effect.call.worker.id, e.toString()))
+                recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED, effect.call.worker.id, e.toString()))
                 null
             } ?: WorkerReply.NoResponse
         events.trySend(NodeEvent.WorkerReplied(effect.call, reply, sentAt))
@@ -250,7 +250,7 @@
                 currentCoroutineContext().ensureActive()
                 null
             } catch (e: Exception) {
-                recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED.name, effect.step, e.toString()))
+                recordEvent(EventLogEntry(NodeLogEvent.CALL_FAILED, effect.step, e.toString()))
                 null
             }
         events.trySend(NodeEvent.EligibilityReplied(effect.askedBy, EligibilityReply(effect.number, tickets)))
@@ -258,7 +258,7 @@
 
     private suspend fun diskLoop() {
         val writer =
-            DiskWriter(storage, metrics::recordSync) { event, reason -> recordEvent(EventLogEntry(event.name, self.address, reason)) }
+            DiskWriter(storage, metrics::recordSync) { event, reason -> recordEvent(EventLogEntry(event, self.address, reason)) }
         try {
             writer.run(persistQueue) { events.trySend(NodeEvent.Persisted(it)) }
         } catch (e: CancellationException) {
@@ -276,7 +276,7 @@
         code: Int,
         reason: String,
     ) {
-        log.write(EventLogEntry(NodeLogEvent.FAILED.name, self.address, "code=$code $reason"))
+        log.write(EventLogEntry(NodeLogEvent.FAILED, self.address, "code=$code $reason"))
         log.close()
         Runtime.getRuntime().halt(code)
     }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeMetrics.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import rhubarbknot.flow.model.LoggedEvent
 import rhubarbknot.flow.node.EventLogEntry
 import rhubarbknot.flow.node.FlowAnswer
 import rhubarbknot.flow.node.FlowRequest
@@ -23,8 +24,8 @@
     droppedLines: () -> Long,
 ) {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    private val eventCounters = ConcurrentHashMap<String, Counter>()
-    private val timers = ConcurrentHashMap<String, Timer>()
+    private val eventCounters = ConcurrentHashMap<LoggedEvent, Counter>()
+    private val timers = ConcurrentHashMap<LoggedEvent, Timer>()
     private val requestTimers = ConcurrentHashMap<String, Timer>()
     private val syncTimer = timer("rhubarbknot.log.sync")
 
@@ -37,10 +38,10 @@
 
     /** Counts [entry] and records its duration, if it has one. */
     fun recordEvent(entry: EventLogEntry) {
-        val name = entry.event.lowercase()
-        eventCounters.computeIfAbsent(name) { Counter.builder("rhubarbknot.events").tag("event", it).register(registry) }.increment()
+        eventCounters.computeIfAbsent(entry.event) { eventCounter(it) }.increment()
         val millis = entry.durationMillis ?: return
-        timers.computeIfAbsent(name) { timer("rhubarbknot.event.duration", "event", it) }.record(Duration.ofMillis(maxOf(0, millis)))
+        val timer = timers.computeIfAbsent(entry.event) { timer("rhubarbknot.event.duration", "event", it.name.lowercase()) }
+        timer.record(Duration.ofMillis(maxOf(0, millis)))
     }
 
     /** Records that [request] was answered with [answer] after [nanos] nanoseconds in this process. */
@@ -71,6 +72,9 @@
     /** All metrics in the Prometheus text format. */
     fun text(): String = registry.scrape()
 
+    private fun eventCounter(event: LoggedEvent): Counter =
+        Counter.builder("rhubarbknot.events").tag("event", event.name.lowercase()).register(registry)
+
     private fun timer(
         name: String,
         vararg tags: String,
