Log: what the leader believes of runs and workers, and why a task is started again

Cause: two starts of a task could not be told apart from the leader's log. Lines named the worker's id, not its incarnation; run_lost named the cause alone; nothing told why run 2 was assigned, or that a list differed from what the leader tracks. Change: workers are named id/born. Repeats of start_unanswered and run_stop_wanted are no longer logged. No decision changes.

--- a/cli/src/main/kotlin/rhubarbknot/cli/trace/JobTrace.kt
+++ b/cli/src/main/kotlin/rhubarbknot/cli/trace/JobTrace.kt
@@ -56,6 +56,8 @@
         private val contextEvents =
             setOf(
                 "leading",
+                "leadership_lost",
+                "clock_gap",
                 "leader_changed",
                 "peer_lost",
                 "disk_failed",
@@ -85,12 +87,15 @@
             val context =
                 lines.filter {
                     it.at in from..to &&
-                        (it.event in contextEvents || (it.event.startsWith("worker_") && it.id in workers))
+                        (it.event in contextEvents || (it.event.startsWith("worker_") && workerIdOf(it.id) in workers))
                 }
             return JobTrace((jobLines + context).distinct().sortedBy { it.at })
         }
 
         private fun workersIn(why: String): List<String> =
-            Regex("worker=([^ ,]+)|@([^ ,]+)").findAll(why).map { it.groupValues[1].ifEmpty { it.groupValues[2] } }.toList()
+            Regex("worker=([^ ,]+)|@([^ ,]+)").findAll(why).map { workerIdOf(it.groupValues[1].ifEmpty { it.groupValues[2] }) }.toList()
+
+        /** The id of the worker in [incarnation], which is written as `id/born`. */
+        private fun workerIdOf(incarnation: String): String = incarnation.substringBefore('/')
     }
 }
--- a/cli/src/test/kotlin/rhubarbknot/cli/trace/JobTraceSpec.kt
+++ b/cli/src/test/kotlin/rhubarbknot/cli/trace/JobTraceSpec.kt
@@ -19,8 +19,9 @@
         """
         12.5 core-1 {"at":5000,"node":"core-1","event":"job_accepted","id":"5c0e","why":"queue=q team=t"}
         {"at":5040,"node":"core-1","event":"runs_assigned","id":"5c0e.0.0","why":"waited=40ms tier=ON_TIME runs=0:1@w7,1:1@w8"}
-        {"at":5050,"node":"core-1","event":"run_started","id":"5c0e.0.0.0","why":"run=1 worker=w7"}
+        {"at":5050,"node":"core-1","event":"run_started","id":"5c0e.0.0.0","why":"run=1 worker=w7/1764957000001"}
         {"at":5060,"node":"core-1","event":"worker_over","id":"w7","why":"born anew"}
+        {"at":5060,"node":"core-1","event":"worker_seen","id":"w7/1764957000123","why":"predecessors=[w7/1764957000001]"}
         {"at":5061,"node":"core-1","event":"worker_over","id":"w9","why":"left"}
         {"at":5062,"node":"core-1","event":"run_lost","id":"77aa.0.0.0","why":"worker=w9"}
         no line of ours
@@ -32,7 +33,7 @@
     fun `contains the decisions of all processes about the job and the events of its workers and leaders`() {
         val trace = JobTrace.of("5c0e", (control + gateway).mapNotNull { LogLine.parse(it) })
         expectThat(trace.lines.map { it.event }).isEqualTo(
-            listOf("leader_changed", "job_accepted", "runs_assigned", "run_started", "worker_over"),
+            listOf("leader_changed", "job_accepted", "runs_assigned", "run_started", "worker_over", "worker_seen"),
         )
         expectThat(trace.render().lines()[1].trim()).isEqualTo("+0.900s  core-1               job_accepted           5c0e queue=q team=t")
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -22,6 +22,7 @@
     private val effects: EffectBuffer,
 ) {
     private val loggedJobs = LinkedHashSet<String>()
+    private val endReasons = RunEndReasons()
 
     /** Handles [command], which was applied with [outcome]. */
     fun handle(
@@ -59,10 +60,27 @@
             record.stage = RunStage.STARTING
             workers.touch(record.worker)
             record.committedAt = now
+            if (record.run.number > 1) logRestarted(record, now)
             if (record.worker.terminated) runs.markRunsLost(record.worker, now, "worker ended before the start")
         }
     }
 
+    private fun logRestarted(
+        record: RunRecord,
+        now: Long,
+    ) {
+        val previous = endReasons.take(record.run.task)
+        val reason =
+            if (previous == null) {
+                "previous=unknown to this leader"
+            } else {
+                "previous=${previous.number}@${previous.worker} how=${previous.outcome} " +
+                    "cause=${previous.cause.ifEmpty { "listed by its worker" }} ended=${now - previous.at}ms"
+            }
+        val detail = "run=${record.run.number} worker=${record.worker.incarnation} $reason"
+        effects.logEvent(DispatchEvent.RUN_RESTARTED, record.run.task.toString(), detail)
+    }
+
     private fun handleRunEnd(
         end: RunEnd,
         now: Long,
@@ -70,12 +88,13 @@
         val record = runs.of(end.run)
         if (record != null) {
             runs.untrack(record)
+            endReasons.record(record, end, now)
             workers.touch(record.worker)
             val commitMillis = if (record.endListedAt > 0) now - record.endListedAt else 0
             effects.logEvent(
                 DispatchEvent.RUN_ENDED,
                 end.run.task.toString(),
-                "run=${end.run.number} how=${end.ending} worker=${record.worker.incarnation.id} " +
+                "run=${end.run.number} how=${end.ending} worker=${record.worker.incarnation} " +
                     "after=${now - record.proposedAt}ms committed=${commitMillis}ms",
                 commitMillis,
             )
@@ -142,7 +161,7 @@
                 if (worker.trust.recordFailure(end.run.task.job, now + settings.distrustMillis)) {
                     effects.logEvent(
                         DispatchEvent.WORKER_DISTRUSTED,
-                        worker.incarnation.id,
+                        worker.incarnation.toString(),
                         "why=failures of several jobs for=${settings.distrustMillis}ms",
                     )
                 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -18,7 +18,7 @@
 class Dispatcher(
     private val state: FlowState,
     settings: DispatchSettings,
-    term: Long,
+    val term: Long,
     startedAt: Long,
 ) {
     private val effects = EffectBuffer()
@@ -48,6 +48,9 @@
         }
     }
 
+    /** Number of runs that may exist and were assigned under earlier leaders. */
+    val inheritedRuns: Int = workers.all.sumOf { it.runs.size }
+
     /** Number of workers that may get runs at [now] and number of all known workers, for status pages. */
     fun workerCounts(now: Long): Pair<Int, Int> = workers.all.count { workers.isUsable(it, state.drainedZones, now) } to workers.all.size
 
@@ -142,7 +145,7 @@
         val placements =
             placed.joinToString(",") {
                 val run = it.assignment.run
-                "${run.task.index}:${run.number}@${it.worker.incarnation.id}"
+                "${run.task.index}:${run.number}@${it.worker.incarnation}"
             }
         effects.logEvent(
             DispatchEvent.RUNS_ASSIGNED,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ProgressMonitor.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ProgressMonitor.kt
@@ -41,7 +41,7 @@
                 effects.logEvent(
                     DispatchEvent.RUN_STALLED,
                     it.run.task.toString(),
-                    "run=${it.run.number} worker=${worker.incarnation.id} $stalledFor",
+                    "run=${it.run.number} worker=${worker.incarnation} $stalledFor",
                 )
             }
     }
@@ -72,7 +72,8 @@
         now: Long,
     ) {
         if (worker.trust.distrustedUntil <= now) {
-            effects.logEvent(DispatchEvent.WORKER_DISTRUSTED, worker.incarnation.id, "why=$reason for=${settings.slowDistrustMillis}ms")
+            val detail = "why=$reason for=${settings.slowDistrustMillis}ms"
+            effects.logEvent(DispatchEvent.WORKER_DISTRUSTED, worker.incarnation.toString(), detail)
         }
         worker.trust.distrust(now + settings.slowDistrustMillis)
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -45,6 +45,9 @@
 
     /** A start was sent without a response, so it may still be executed. */
     var startUncertain = false
+
+    /** Number of starts sent without a response. */
+    var unansweredStarts = 0
     var retryAt = 0L
     var committedAt = 0L
     var endListedAt = 0L
@@ -77,6 +80,12 @@
     /** The end of the run is proposed to the log. */
     var ending = false
 
+    /** Why this leader took the run for over, for the event log; empty when the worker listed the end. */
+    var endCause = ""
+
+    /** Whether the event log tells already that a stop was wanted. */
+    var stopLogged = false
+
     /**
      * Moves the run to [successor], the restarted worker with the same id, which may have received a start that was sent to
      * its earlier incarnation. If such a start may still be in flight, only a stop guarantees that it has no effect.
@@ -95,6 +104,7 @@
     /** Records that the worker listed the end of the run. */
     fun markEndListed(now: Long) {
         ending = true
+        endCause = ""
         endListedAt = now
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -137,24 +137,29 @@
     ) {
         val lost = worker.runs.values.filter { it.stage != RunStage.PROPOSED && !it.ending }
         if (lost.isEmpty() && crash == null) return
-        lost.forEach { it.ending = true }
+        lost.forEach {
+            it.ending = true
+            it.endCause = cause
+        }
         effects.propose(FlowCommand.Ended(lost.map { RunEnd(it.run, RunOutcome.LOST, it.checkpoint) }, now, crash = crash))
         lost.forEach {
             effects.logEvent(
                 DispatchEvent.RUN_LOST,
                 it.run.task.toString(),
-                "run=${it.run.number} worker=${worker.incarnation.id} cause=$cause stage=${it.stage}",
+                "run=${it.run.number} worker=${worker.incarnation} cause=$cause ${RunBeliefs.describeLoss(it, worker, now)}",
             )
         }
     }
 
-    /** Proposes the end of a run that was never started and never will be. */
+    /** Proposes the end of a run that was never started and never will be, because of [cause]. */
     fun rejectRun(
         record: RunRecord,
         now: Long,
+        cause: String = "never started",
     ) {
         if (record.ending) return
         record.ending = true
+        record.endCause = cause
         effects.propose(FlowCommand.Ended(listOf(RunEnd(record.run, RunOutcome.REJECTED)), now))
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -25,7 +25,8 @@
             return
         }
         if (worker.runs.values.any { it.stage != RunStage.PROPOSED && !it.ending } && leases.isExpired(worker, now)) {
-            effects.logEvent(DispatchEvent.LEASE_WAITED_OUT, worker.incarnation.id, "runs=${worker.runs.size}")
+            val lease = RunBeliefs.describeLease(worker, now)
+            effects.logEvent(DispatchEvent.LEASE_WAITED_OUT, worker.incarnation.toString(), "runs=${worker.runs.size} $lease")
             worker.suspectedCrash = CrashAnalyzer.crashOf(worker, now)
             runs.markRunsLost(worker, now, "lease expired")
         }
@@ -52,14 +53,15 @@
             if (run.callInFlight || run.ending || run.retryAt > now) return@forEach
             when {
                 run.stage == RunStage.PROPOSED -> Unit
-                run.stopWanted && run.stage == RunStage.STARTING && !run.startUncertain -> runs.rejectRun(run, now)
+                run.stopWanted && run.stage == RunStage.STARTING && !run.startUncertain ->
+                    runs.rejectRun(
+                        run,
+                        now,
+                        "stopped before its start",
+                    )
                 run.stopWanted && !run.stopAcknowledged -> {
                     run.callInFlight = true
-                    effects.logEvent(
-                        DispatchEvent.RUN_STOP_WANTED,
-                        run.run.task.toString(),
-                        "run=${run.run.number} worker=${worker.incarnation.id}",
-                    )
+                    logFirstStop(run, worker)
                     effects.call(WorkerCall.Stop(worker.incarnation, address, term, run.run), settings.callTimeoutMillis)
                 }
                 run.stage == RunStage.STARTING && !run.stopWanted -> sendStart(run, worker, address, now)
@@ -67,6 +69,17 @@
         }
     }
 
+    /** Repeated stops of a run are not logged. */
+    private fun logFirstStop(
+        run: RunRecord,
+        worker: WorkerRecord,
+    ) {
+        if (run.stopLogged) return
+        run.stopLogged = true
+        val detail = "run=${run.run.number} worker=${worker.incarnation} stage=${run.stage} startUncertain=${run.startUncertain}"
+        effects.logEvent(DispatchEvent.RUN_STOP_WANTED, run.run.task.toString(), detail)
+    }
+
     private fun sendStart(
         run: RunRecord,
         worker: WorkerRecord,
@@ -82,7 +95,7 @@
                 run.run.task.toString(),
                 "run=${run.run.number} reason=ticket expired before the start",
             )
-            runs.rejectRun(run, now)
+            runs.rejectRun(run, now, "ticket expired before the start")
             return
         }
         if (!mayStartNow(run, worker, now)) return
@@ -106,10 +119,10 @@
             RoomGuard.Verdict.SEND -> Unit
             RoomGuard.Verdict.WAIT -> run.retryAt = now + settings.retryMillis
             RoomGuard.Verdict.WITHDRAW -> {
-                val detail = "run=${run.run.number} worker=${worker.incarnation.id} reason=room shrank or is unknown"
+                val detail = "run=${run.run.number} worker=${worker.incarnation} reason=room shrank or is unknown"
                 effects.logEvent(DispatchEvent.RUN_REFUSED, run.run.task.toString(), detail)
                 // A copy of this start may still be in flight; only a stop guarantees that it has no effect.
-                if (run.startUncertain) run.stopWanted = true else runs.rejectRun(run, now)
+                if (run.startUncertain) run.stopWanted = true else runs.rejectRun(run, now, "room shrank or is unknown")
                 workers.touch(worker)
             }
         }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -1,6 +1,7 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.core.model.Resources
+import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.TaskId
 import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
@@ -53,6 +54,9 @@
     /** Highest end number that is acknowledged to the worker. */
     var lastAcknowledgedEnd = 0L
 
+    /** Listed runs that this leader expected elsewhere or nowhere, and that the event log tells of already. */
+    val unexpectedRuns = LinkedHashSet<RunId>()
+
     /** When this incarnation last listed its runs. */
     var runsListedAt = Long.MIN_VALUE / 2
     var renewInFlight = false
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -1,6 +1,7 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.flow.model.RunEnd
+import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
@@ -16,6 +17,8 @@
     private val progressMonitor: ProgressMonitor,
     private val effects: EffectBuffer,
 ) {
+    private val beliefs = RunBeliefs(state, runs)
+
     /** Handles [reply] to [call], which was sent at [sentAt]. */
     fun handle(
         call: WorkerCall,
@@ -53,20 +56,24 @@
                     return
                 }
             }
-        if (worker.unansweredCalls > UNREACHABLE_LOG_THRESHOLD) effects.logEvent(DispatchEvent.WORKER_REGAINED, worker.incarnation.id)
+        if (worker.unansweredCalls >
+            UNREACHABLE_LOG_THRESHOLD
+        ) {
+            effects.logEvent(DispatchEvent.WORKER_REGAINED, worker.incarnation.toString())
+        }
         worker.unansweredCalls = 0
         val refusal = (reply as? WorkerReply.Refused)?.reason
         if (refusal == RefusalReason.OTHER_LIFE) {
             workers.markTerminated(worker, now, "another incarnation answers at its address")
             return
         }
-        if (refusal == RefusalReason.FENCED) effects.logEvent(DispatchEvent.FENCED_OUT, worker.incarnation.id, "term=$term")
+        if (refusal == RefusalReason.FENCED) effects.logEvent(DispatchEvent.FENCED_OUT, worker.incarnation.toString(), "term=$term")
         if (clock != null) worker.readClock(clock, now)
     }
 
     private fun recordUnansweredCall(worker: WorkerRecord) {
         if (worker.unansweredCalls++ == UNREACHABLE_LOG_THRESHOLD) {
-            effects.logEvent(DispatchEvent.WORKER_UNREACHABLE, worker.incarnation.id, "unanswered=${worker.unansweredCalls}")
+            effects.logEvent(DispatchEvent.WORKER_UNREACHABLE, worker.incarnation.toString(), "unanswered=${worker.unansweredCalls}")
         }
     }
 
@@ -84,19 +91,22 @@
             is WorkerReply.Refused -> startRefused(record, reply.reason, now)
             is WorkerReply.Runs -> Unit
             WorkerReply.NotSent, WorkerReply.ConnectionRefused ->
-                if (record.startUncertain) record.retryAt = now + settings.retryMillis else runs.rejectRun(record, now)
+                if (record.startUncertain) record.retryAt = now + settings.retryMillis else runs.rejectRun(record, now, "$reply")
             WorkerReply.NoResponse -> {
                 record.startUncertain = true
                 record.retryAt = now + RESEND_MILLIS
-                effects.logEvent(
-                    DispatchEvent.START_UNANSWERED,
-                    record.run.task.toString(),
-                    "run=${record.run.number} worker=${record.worker.incarnation.id}",
-                )
+                logFirstUnansweredStart(record)
             }
         }
     }
 
+    /** Repeated starts of a run are counted, not logged. */
+    private fun logFirstUnansweredStart(record: RunRecord) {
+        if (record.unansweredStarts++ > 0) return
+        val detail = "run=${record.run.number} worker=${record.worker.incarnation}"
+        effects.logEvent(DispatchEvent.START_UNANSWERED, record.run.task.toString(), detail)
+    }
+
     private fun markStarted(
         record: RunRecord,
         now: Long,
@@ -108,7 +118,7 @@
         effects.logEvent(
             DispatchEvent.RUN_STARTED,
             record.run.task.toString(),
-            "run=${record.run.number} worker=${record.worker.incarnation.id} " +
+            "run=${record.run.number} worker=${record.worker.incarnation} " +
                 "committed=${record.committedAt - record.proposedAt}ms after=${now - record.proposedAt}ms",
             now - record.proposedAt,
         )
@@ -123,7 +133,7 @@
         effects.logEvent(
             DispatchEvent.RUN_REFUSED,
             record.run.task.toString(),
-            "run=${record.run.number} worker=${record.worker.incarnation.id} reason=$reason",
+            "run=${record.run.number} worker=${record.worker.incarnation} reason=$reason",
         )
         record.retryAt = now + settings.retryMillis
         when (reason) {
@@ -138,7 +148,7 @@
             else -> Unit
         }
         // A copy of this start may still be in flight; only a stop guarantees that it has no effect.
-        if (record.startUncertain) record.stopWanted = true else runs.rejectRun(record, now)
+        if (record.startUncertain) record.stopWanted = true else runs.rejectRun(record, now, "start refused: $reason")
     }
 
     private fun stopReplied(
@@ -181,8 +191,8 @@
         worker.markSurvivedStarts(now - settings.startSurvivalMillis)
         if (!worker.fenced) {
             workers.markFenced(worker)
-            val counts = "running=${reply.running.size} ended=${reply.ended.size}"
-            effects.logEvent(DispatchEvent.WORKER_FENCED, worker.incarnation.id, "term=$term $counts")
+            val counts = "running=${reply.running.size} ended=${reply.ended.size} tracked=${worker.runs.size}"
+            effects.logEvent(DispatchEvent.WORKER_FENCED, worker.incarnation.toString(), "term=$term $counts listedBorn=${reply.born}")
         }
         worker.lastAcknowledgedEnd = maxOf(worker.lastAcknowledgedEnd, call.lastSeen)
         handleRunning(worker, reply, now)
@@ -201,12 +211,23 @@
             if (record != null && record.worker === worker) {
                 updateListedRun(record, running, now)
             } else if (state.runsOn(worker.incarnation)[running.run.task] != running.run.number) {
+                logUnexpected(worker, running.run)
                 val address = worker.report?.address ?: return@forEach
                 effects.call(WorkerCall.Stop(worker.incarnation, address, term, running.run), settings.callTimeoutMillis)
             }
         }
     }
 
+    private fun logUnexpected(
+        worker: WorkerRecord,
+        run: RunId,
+    ) {
+        if (!worker.unexpectedRuns.add(run)) return
+        if (worker.unexpectedRuns.size > MAX_UNEXPECTED_RUNS) worker.unexpectedRuns.remove(worker.unexpectedRuns.first())
+        val detail = "run=${run.number} worker=${worker.incarnation} ${beliefs.describe(run.task)}"
+        effects.logEvent(DispatchEvent.UNEXPECTED_RUN, run.task.toString(), detail)
+    }
+
     private fun updateListedRun(
         record: RunRecord,
         running: RunningRun,
@@ -230,6 +251,7 @@
         val newEnds = reply.ended.filter { it.number > worker.lastProposedEnd }
         if (newEnds.isEmpty()) return
         worker.lastProposedEnd = newEnds.maxOf { it.number }
+        newEnds.filter { beliefs.isStale(it.end, worker.incarnation) }.forEach { logStale(it.end, worker) }
         newEnds.mapNotNull { runs.of(it.end.run) }.forEach { record ->
             record.markEndListed(now)
             runs.markStarted(record)
@@ -237,6 +259,14 @@
         effects.propose(FlowCommand.Ended(newEnds.map { it.end }, now, worker.incarnation, worker.lastProposedEnd))
     }
 
+    private fun logStale(
+        end: RunEnd,
+        worker: WorkerRecord,
+    ) {
+        val detail = "run=${end.run.number} how=${end.ending} worker=${worker.incarnation} ${beliefs.describe(end.run.task)}"
+        effects.logEvent(DispatchEvent.STALE_END, end.run.task.toString(), detail)
+    }
+
     private fun handleMissing(
         worker: WorkerRecord,
         reply: WorkerReply.Runs,
@@ -248,14 +278,17 @@
         val listedRuns = reply.running.mapTo(HashSet()) { it.run }
         val missing = worker.runs.values.filter { run -> !run.ending && run.run !in listedRuns && mustBeListed(run, sentAt) }
         if (missing.isEmpty()) return
-        missing.forEach { it.ending = true }
+        missing.forEach {
+            it.ending = true
+            it.endCause = "not listed"
+        }
         val ends = missing.map { RunEnd(it.run, if (it.stopAcknowledged) RunOutcome.STOPPED else RunOutcome.LOST, it.checkpoint) }
         effects.propose(FlowCommand.Ended(ends, now))
         missing.forEach {
             effects.logEvent(
                 DispatchEvent.RUN_LOST,
                 it.run.task.toString(),
-                "run=${it.run.number} worker=${worker.incarnation.id} cause=not listed stage=${it.stage}",
+                "run=${it.run.number} worker=${worker.incarnation} cause=not listed ${RunBeliefs.describeLoss(it, worker, now)}",
             )
         }
     }
@@ -277,6 +310,9 @@
         const val STOP_MARGIN_MILLIS = 200L
         const val UNREACHABLE_LOG_THRESHOLD = 1
 
+        /** Unexpected runs remembered for each worker so that each is logged once. */
+        const val MAX_UNEXPECTED_RUNS = 100
+
         /** Maximum number of ends that a worker lists in one response. */
         const val MAX_LISTED_ENDS = 500
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -59,7 +59,7 @@
     ) {
         if (predecessor.terminated) return
         predecessor.terminated = true
-        effects.logEvent(DispatchEvent.WORKER_OVER, predecessor.incarnation.id, "restarted under the same id runs=${predecessor.runs.size}")
+        logOver(predecessor, "restarted under the same id", successor = incarnation)
         crashOf(predecessor, now)?.let { effects.propose(FlowCommand.Ended(emptyList(), now, crash = it)) }
         runs.moveRuns(getOrAdd(incarnation, now), predecessor)
     }
@@ -80,6 +80,7 @@
         predecessors.forEach { replaceIncarnation(it, report.life, now) }
         val previous = record.report
         if (previous != null && !report.isNewerThan(previous)) return
+        if (previous == null) logSeen(report, predecessors)
         if (previous == null || previous.draining != report.draining || previous.room != report.room) changes++
         if (previous != null && previous.address != report.address) byAddress[previous.address]?.remove(record)
         byAddress.getOrPut(report.address) { LinkedHashSet() }.add(record)
@@ -120,6 +121,7 @@
         now: Long,
     ) {
         byId[id].orEmpty().forEach {
+            if (!it.isLeaving) effects.logEvent(DispatchEvent.WORKER_LEAVING, it.incarnation.toString(), "runs=${it.runs.size}")
             it.leftAt = minOf(it.leftAt, now)
             touch(it)
         }
@@ -129,7 +131,7 @@
     fun cancelLeaving(worker: WorkerRecord) {
         worker.leftAt = Long.MAX_VALUE
         changes++
-        effects.logEvent(DispatchEvent.LEAVE_IGNORED, worker.incarnation.id, "still lists its runs=${worker.runs.size}")
+        effects.logEvent(DispatchEvent.LEAVE_IGNORED, worker.incarnation.toString(), "still lists its runs=${worker.runs.size}")
     }
 
     /** Marks [worker] as terminated for [reason]; it is guaranteed to run nothing any more. */
@@ -140,7 +142,7 @@
     ) {
         if (worker.terminated) return
         worker.terminated = true
-        effects.logEvent(DispatchEvent.WORKER_OVER, worker.incarnation.id, reason)
+        logOver(worker, reason, successorAt(worker))
         runs.markRunsLost(worker, now, reason, crashOf(worker, now))
     }
 
@@ -150,10 +152,35 @@
     ): WorkerCrash? {
         val crash = CrashAnalyzer.crashOf(worker, now) ?: return null
         val starting = "starting=${crash.starting.map { it.task }} unconfirmed=${crash.unconfirmed.map { it.task }}"
-        effects.logEvent(DispatchEvent.WORKER_CRASHED, worker.incarnation.id, "$starting running=${crash.running.size}")
+        effects.logEvent(DispatchEvent.WORKER_CRASHED, worker.incarnation.toString(), "$starting running=${crash.running.size}")
         return crash
     }
 
+    private fun logSeen(
+        report: WorkerReport,
+        predecessors: List<WorkerRecord>,
+    ) {
+        val place = "address=${report.address} zone=${report.zone} sequence=${report.sequence}"
+        effects.logEvent(DispatchEvent.WORKER_SEEN, report.life.toString(), "$place predecessors=${predecessors.map { it.incarnation }}")
+    }
+
+    private fun logOver(
+        worker: WorkerRecord,
+        reason: String,
+        successor: WorkerIncarnation?,
+    ) {
+        val facts = "runs=${worker.runs.size} address=${worker.report?.address} successor=${successor ?: "unknown"}"
+        effects.logEvent(DispatchEvent.WORKER_OVER, worker.incarnation.toString(), "reason=$reason $facts")
+    }
+
+    /** The latest incarnation that has reported the address of [worker] as its own after it; null for none. */
+    private fun successorAt(worker: WorkerRecord): WorkerIncarnation? =
+        byAddress[worker.report?.address]
+            .orEmpty()
+            .map { it.incarnation }
+            .filter { it.born > worker.incarnation.born }
+            .maxByOrNull { it.born }
+
     /** Records that [worker] has seen this leader's fencing token. */
     fun markFenced(worker: WorkerRecord) {
         worker.fenced = true
--- a/flow/src/main/kotlin/rhubarbknot/flow/model/TaskId.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/model/TaskId.kt
@@ -41,4 +41,6 @@
 data class WorkerIncarnation(
     val id: String,
     val born: Long,
-)
+) {
+    override fun toString(): String = "$id/$born"
+}
