Log: leadership lost and its successor, inherited runs, clock gaps

Cause: a leader that stood still could be told from its log only by silence, and the end of its term not at all. Change: leading names the inherited runs; leadership_lost the term, the reason and the successor; control nodes write leader_changed once for each leader and term; clock_gap is the first line after a second or more without any event.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -85,6 +85,8 @@
     private val proposals = ProposalTracker()
     private val effects = ArrayList<NodeEffect>()
     private var dispatcher: Dispatcher? = null
+    private var lastLoggedLeader: ReplicaEffect.RoleChanged? = null
+    private var lastHandledAt = now
     private var lastProposedAt = 0L
     private var statusDueAt = 0L
     private var membershipCheckDueAt = 0L
@@ -107,6 +109,7 @@
         events: List<NodeEvent>,
         now: Long,
     ): List<NodeEffect> {
+        logClockGap(now)
         events.forEach { handle(it, now) }
         updateLeadership(now)
         propose(now)
@@ -117,6 +120,14 @@
         return out
     }
 
+    /** Ticks arrive every few milliseconds, so a gap means that this process or its host stood still. */
+    private fun logClockGap(now: Long) {
+        val gapMillis = now - lastHandledAt
+        lastHandledAt = now
+        if (gapMillis <= CLOCK_GAP_MILLIS) return
+        log(NodeLogEvent.CLOCK_GAP, self.address, "millis=$gapMillis leading=${dispatcher != null} term=${replica.term}")
+    }
+
     override fun health(now: Long): NodeHealth =
         NodeHealth(
             serving(now),
@@ -324,7 +335,12 @@
             workerReports.all.forEach { newDispatcher.workerReported(it.report, it.receivedAt) }
             dispatcher = newDispatcher
             peersChanged = true
-            log(NodeLogEvent.LEADING, self.address, "term=${replica.term} configuration=${state.configuration?.version}")
+            log(
+                NodeLogEvent.LEADING,
+                self.address,
+                "term=${replica.term} configuration=${state.configuration?.version} inherited=${newDispatcher.inheritedRuns} " +
+                    "commit=${replica.commitIndex}",
+            )
         }
         val active = dispatcher ?: return
         if (serving(now)) {
@@ -400,7 +416,7 @@
             is ReplicaEffect.Persist -> effects += NodeEffect.Persist(effect)
             is ReplicaEffect.Apply -> effect.entries.forEach { apply(it, now) }
             is ReplicaEffect.Restore -> state.restore(effect.snapshot.state)
-            is ReplicaEffect.RoleChanged -> roleChanged(effect.role, now)
+            is ReplicaEffect.RoleChanged -> roleChanged(effect, now)
         }
     }
 
@@ -433,10 +449,12 @@
     }
 
     private fun roleChanged(
-        role: Role,
+        change: ReplicaEffect.RoleChanged,
         now: Long,
     ) {
-        if (role == Role.LEADER) return
+        logLeader(change)
+        if (change.role == Role.LEADER) return
+        dispatcher?.let { logLeadershipLost(it, change) }
         dispatcher = null
         // Commands that were not appended belong to the lost term and have not run.
         proposals.takeQueued().forEach { proposal ->
@@ -446,6 +464,24 @@
         if (lastBroadcastServing) broadcastStatus(now)
     }
 
+    private fun logLeader(change: ReplicaEffect.RoleChanged) {
+        val leader = change.leader ?: return
+        val previous = lastLoggedLeader
+        if (leader == previous?.leader && change.term == previous.term) return
+        log(NodeLogEvent.LEADER_CHANGED, leader.name, "term=${change.term} before=${previous?.leader?.name}")
+        lastLoggedLeader = change
+    }
+
+    private fun logLeadershipLost(
+        lost: Dispatcher,
+        change: ReplicaEffect.RoleChanged,
+    ) {
+        val reason = if (change.term > lost.term) "another term has begun" else "no quorum answers or this replica has halted"
+        val successor = change.leader?.name ?: "unknown"
+        val detail = "term=${lost.term} reason=$reason newTerm=${change.term} role=${change.role} successor=$successor"
+        log(NodeLogEvent.LEADERSHIP_LOST, self.address, detail)
+    }
+
     // Peers and membership
 
     private fun currentStatus(now: Long) =
@@ -510,6 +546,9 @@
          */
         const val PROPOSAL_GAP_MILLIS = 5L
 
+        /** Time without any event after which a process counts as having stood still. */
+        const val CLOCK_GAP_MILLIS = 1_000L
+
         /** Small enough that a replica that is catching up does not delay the others. */
         const val MAX_APPEND_BYTES = 48 * 1024
         const val SNAPSHOT_CHUNK_BYTES = 48 * 1024
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
@@ -31,6 +31,8 @@
     PEER_LOST,
     LEADER_CHANGED,
     LEADING,
+    LEADERSHIP_LOST,
+    CLOCK_GAP,
     MEMBERS_PROPOSED,
     DISK_FAILED,
     DISK_REGAINED,
--- a/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
@@ -11,6 +11,8 @@
 import rhubarbknot.flow.node.NodeEvent
 import rhubarbknot.flow.node.NodeFrame
 import rhubarbknot.flow.node.NodeIdentity
+import rhubarbknot.flow.node.NodeLogEvent
+import rhubarbknot.quorum.Append
 import rhubarbknot.quorum.DurableState
 import rhubarbknot.quorum.Members
 import rhubarbknot.quorum.ReplicaId
@@ -125,6 +127,51 @@
         }
     }
 
+    @Nested
+    @DisplayName("when it leads, stands still or loses its leadership")
+    inner class LeadershipLog {
+        private val successor = NodeIdentity("10.0.0.2:7000", "z2", "10.0.0.2:7000#1")
+
+        private fun entries(effects: List<NodeEffect>) = effects.filterIsInstance<NodeEffect.LogEvent>().map { it.entry }
+
+        private fun detailOf(
+            event: NodeLogEvent,
+            effects: List<NodeEffect>,
+        ) = entries(effects).single { it.event == event }.detail
+
+        @Test
+        fun `names its term and the runs that it inherits`() {
+            var effects = emptyList<NodeEffect>()
+            while (entries(effects).none { it.event == NodeLogEvent.LEADING }) {
+                now += TICK_MILLIS
+                check(now < ELECTION_LIMIT_MILLIS) { "the only voter was not elected" }
+                effects = sync(handle(NodeEvent.Tick))
+            }
+            expectThat(detailOf(NodeLogEvent.LEADING, effects)).isEqualTo("term=1 configuration=null inherited=0 commit=1")
+        }
+
+        @Test
+        fun `names the term that it lost and its successor`() {
+            lead()
+            val append = Append(term = 5, prevIndex = 0, prevTerm = 0, entries = emptyList(), commitIndex = 0, sentAtMillis = now)
+            val effects = handle(NodeEvent.FrameReceived(successor, NodeFrame.Replica(successor.replica, self.replica, append)))
+            expectThat(detailOf(NodeLogEvent.LEADERSHIP_LOST, effects))
+                .isEqualTo("term=1 reason=another term has begun newTerm=5 role=FOLLOWER successor=${successor.replica}")
+            expectThat(detailOf(NodeLogEvent.LEADER_CHANGED, effects)).isEqualTo("term=5 before=${self.replica}")
+        }
+
+        @Test
+        fun `tells first of all that it stood still`() {
+            lead()
+            now += 1_001
+            val first = entries(handle(NodeEvent.LinkUp(successor), NodeEvent.Tick)).first()
+            expectThat(first.event).isEqualTo(NodeLogEvent.CLOCK_GAP)
+            expectThat(first.detail).isEqualTo("millis=1001 leading=true term=1")
+            now += 1_000
+            expectThat(entries(handle(NodeEvent.Tick)).map { it.event }).isEmpty()
+        }
+    }
+
     @Test
     fun `forwards the latest report of each worker to the other control nodes in one go`() {
         val peer = NodeIdentity("10.0.0.2:7000", "z2", "10.0.0.2:7000#1")
