--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -39,13 +39,16 @@
 
     operator fun get(incarnation: WorkerIncarnation): WorkerRecord? = byIncarnation[incarnation]
 
-    /** Returns the record of [incarnation], or adds one that is known since [now]. */
+    /**
+     * Returns the record of [incarnation], or adds one that is known since [now]. A report from before this term does not count:
+     * the earlier leader may have granted leases after it.
+     */
     fun getOrAdd(
         incarnation: WorkerIncarnation,
         now: Long = startedAt,
     ): WorkerRecord =
         byIncarnation.getOrPut(incarnation) {
-            WorkerRecord(incarnation, now).also { byId.getOrPut(incarnation.id) { LinkedHashSet() }.add(it) }
+            WorkerRecord(incarnation, maxOf(now, startedAt)).also { byId.getOrPut(incarnation.id) { LinkedHashSet() }.add(it) }
         }
 
     /**
--- /dev/null
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTestBed.kt
@@ -0,0 +1,88 @@
+package rhubarbknot.flow
+
+import rhubarbknot.flow.FlowFixture.report
+import rhubarbknot.flow.FlowFixture.request
+import rhubarbknot.flow.dispatch.DispatchEffect
+import rhubarbknot.flow.dispatch.DispatchSettings
+import rhubarbknot.flow.dispatch.Dispatcher
+import rhubarbknot.flow.dispatch.NumberedRunEnd
+import rhubarbknot.flow.dispatch.RunningRun
+import rhubarbknot.flow.dispatch.WorkerCall
+import rhubarbknot.flow.dispatch.WorkerReply
+import rhubarbknot.flow.model.StepSpec
+import rhubarbknot.flow.state.FlowCommand
+import rhubarbknot.flow.state.FlowState
+
+/** A [Dispatcher] whose proposals are committed at once, and whose worker calls are answered by the test. */
+internal class DispatcherTestBed(
+    val settings: DispatchSettings = DispatchSettings(),
+) {
+    val state = FlowState().also { it.apply(FlowCommand.Configure(FlowFixture.configuration())) }
+    var now = 100_000L
+    var dispatcher = Dispatcher(state, settings, term = 1, startedAt = now)
+        private set
+    private var term = 1L
+    private val sent = ArrayList<WorkerCall>()
+
+    /** The latest renewal sent to [worker]. */
+    fun lastRenewal(worker: String): WorkerCall.Renew = sent.renewals.last { it.worker.id == worker }
+
+    /** Replaces the leader by one of the next term. */
+    fun changeLeader() {
+        dispatcher = Dispatcher(state, settings, ++term, startedAt = now)
+    }
+
+    /** Advances the time by [advanceMillis] and returns the calls that the dispatcher then sends. */
+    fun dispatchAll(advanceMillis: Long = 0): List<WorkerCall> {
+        now += advanceMillis
+        val calls = ArrayList<WorkerCall>()
+        // Several rounds are run so that all calls that result from the commits are sent.
+        repeat(ROUNDS) {
+            dispatcher.dispatchDue(now)
+            dispatcher.drain().forEach { effect ->
+                when (effect) {
+                    is DispatchEffect.Propose -> dispatcher.commandApplied(effect.command, state.apply(effect.command), now)
+                    is DispatchEffect.Call -> calls += effect.call
+                    else -> Unit
+                }
+            }
+        }
+        sent += calls
+        return calls
+    }
+
+    fun reply(
+        call: WorkerCall,
+        reply: WorkerReply,
+        sentAt: Long = now,
+    ) = dispatcher.workerReplied(call, reply, sentAt, now)
+
+    fun runsReply(
+        running: List<RunningRun> = emptyList(),
+        ended: List<NumberedRunEnd> = emptyList(),
+        born: Long = 1,
+        clock: Long = now,
+    ) = WorkerReply.Runs(born, clock, running, ended)
+
+    /** Registers the workers [ids] and answers their first renewal, which carries the fencing token. */
+    fun registerWorkers(vararg ids: String) {
+        ids.forEach { dispatcher.workerReported(report(it, clockMillis = now), now) }
+        dispatchAll().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runsReply()) }
+    }
+
+    fun submit(
+        id: String,
+        vararg steps: StepSpec,
+    ) {
+        val command = FlowCommand.Submit(request(id, *steps), now)
+        dispatcher.commandApplied(command, state.apply(command), now)
+    }
+
+    private companion object {
+        const val ROUNDS = 4
+    }
+}
+
+internal val List<WorkerCall>.starts: List<WorkerCall.Start> get() = filterIsInstance<WorkerCall.Start>()
+internal val List<WorkerCall>.stops: List<WorkerCall.Stop> get() = filterIsInstance<WorkerCall.Stop>()
+internal val List<WorkerCall>.renewals: List<WorkerCall.Renew> get() = filterIsInstance<WorkerCall.Renew>()
