--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
@@ -25,9 +25,10 @@
         now: Long,
     ): Boolean {
         // A lease granted by an earlier leader started no later than the time when this leader learned of the worker.
-        val inheritedExpired = now - worker.knownSince > maxLeaseMillis
-        if (!worker.fenced) return inheritedExpired
-        if (worker.unansweredCalls == 0 || !inheritedExpired) return false
+        if (now - worker.knownSince <= maxLeaseMillis) return false
+        if (worker.fenced && worker.unansweredCalls == 0) return false
+        // The worker may have executed a renewal although it has never answered one.
+        if (worker.grantedUntil == Long.MIN_VALUE) return true
         return worker.clockAtLeast(now, settings.slowClockPerMille) > worker.grantedUntil + MARGIN_MILLIS
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
@@ -9,6 +9,7 @@
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 
 @DisplayName("leases that an earlier leader granted")
 class InheritedLeaseSpec {
@@ -39,4 +40,29 @@
         }
         expectThat(bed.state.runsOn(start.worker).values).hasSize(1)
     }
+
+    // A task ran twice: the worker had executed a renewal of the new leader, whose answer was lost, and was cut off.
+    @Test
+    fun `are extended by renewals that the new leader sends before the first answer`() {
+        bed.registerWorkers("w1")
+        bed.submit("a", step())
+        val start = bed.dispatchAll().starts.single()
+        bed.reply(start, WorkerReply.Done(bed.now))
+        bed.changeLeader()
+        bed.registerWorkers("w2")
+        bed.dispatchAll(REPORT_DELAY_MILLIS)
+        bed.dispatcher.workerReported(report("w1", clockMillis = bed.now, sequence = 2), bed.now)
+        val grantedAt = bed.now
+        while (bed.now - grantedAt < bed.settings.leaseMillis) {
+            val calls = bed.dispatchAll(500)
+            expectThat(calls.starts).isEmpty()
+            calls.forEach { bed.reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else bed.runsReply()) }
+            bed.dispatcher.workerReported(report("w2", clockMillis = bed.now, sequence = bed.now), bed.now)
+        }
+        expectThat(bed.dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
+    }
+
+    private companion object {
+        const val REPORT_DELAY_MILLIS = 1_400L
+    }
 }
