--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -28,7 +28,7 @@
     private val eligibility = EligibilityTracker()
     private val runs = RunTracker(state, usage, effects)
     private val workers = WorkerTracker(settings, term, startedAt, runs, effects)
-    private val callScheduler = WorkerCallScheduler(state, settings, term, runs, workers, LeaseManager(settings), effects)
+    private val callScheduler = WorkerCallScheduler(state, settings, runs, workers, LeaseManager(settings), effects)
     private val replyHandler =
         WorkerReplyHandler(state, settings, term, runs, workers, eligibility, ProgressMonitor(settings, durations, runs, effects), effects)
     private val appliedCommands = AppliedCommandHandler(state, settings, runs, workers, durations, failures, effects)
@@ -40,7 +40,8 @@
     private var lastPlannedChanges = -1L
 
     init {
-        state.occupiedWorkers.toList().forEach { incarnation ->
+        // A later incarnation gets a higher fencing token.
+        state.occupiedWorkers.sortedBy { it.born }.forEach { incarnation ->
             val worker = workers.getOrAdd(incarnation)
             state.runsOn(incarnation).forEach { (task, number) ->
                 runs.track(RunId(task, number), worker, RunStage.INHERITED, null, startedAt)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -6,7 +6,6 @@
 internal class WorkerCallScheduler(
     private val state: FlowState,
     private val settings: DispatchSettings,
-    private val term: Long,
     private val runs: RunTracker,
     private val workers: WorkerTracker,
     private val leases: LeaseManager,
@@ -62,7 +61,7 @@
                 run.stopWanted && !run.stopAcknowledged -> {
                     run.callInFlight = true
                     logFirstStop(run, worker)
-                    effects.call(WorkerCall.Stop(worker.incarnation, address, term, run.run), settings.callTimeoutMillis)
+                    effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, run.run), settings.callTimeoutMillis)
                 }
                 run.stage == RunStage.STARTING && !run.stopWanted -> sendStart(run, worker, address, now)
             }
@@ -102,10 +101,18 @@
         val checkpoint = job.task(run.run.task)?.checkpoint.orEmpty()
         run.callInFlight = true
         val deadline = leases.grant(worker, now)
-        effects.call(
-            WorkerCall.Start(worker.incarnation, address, term, run.run, job.request.payload, deadline, checkpoint, ticket?.text.orEmpty()),
-            settings.callTimeoutMillis,
-        )
+        val call =
+            WorkerCall.Start(
+                worker.incarnation,
+                address,
+                worker.fencingToken,
+                run.run,
+                job.request.payload,
+                deadline,
+                checkpoint,
+                ticket?.text.orEmpty(),
+            )
+        effects.call(call, settings.callTimeoutMillis)
     }
 
     /** Whether the room of [worker] still allows the start of [run]; withdraws the run if it never will. */
@@ -155,7 +162,7 @@
         val deadline = if (hasCommittedRuns) leases.grant(worker, now) else null
         val lastSeen = if (isConfirmedIncarnation(worker, now)) worker.lastCommittedEnd else 0
         effects.call(
-            WorkerCall.Renew(worker.incarnation, address, term, lastSeen, deadline, waitMillis),
+            WorkerCall.Renew(worker.incarnation, address, worker.fencingToken, lastSeen, deadline, waitMillis),
             settings.callTimeoutMillis + waitMillis,
         )
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
@@ -4,7 +4,7 @@
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.WorkerIncarnation
 
-/** A call to a worker. Each call carries the leader's term as its fencing token. */
+/** A call to a worker, with a [FencingToken] of the leader and of the incarnation that is called. */
 sealed interface WorkerCall {
     val worker: WorkerIncarnation
     val address: String
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -11,6 +11,7 @@
 internal class WorkerRecord(
     val incarnation: WorkerIncarnation,
     val knownSince: Long,
+    val fencingToken: Long,
 ) {
     var reportedAt = knownSince
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -213,7 +213,7 @@
             } else if (state.runsOn(worker.incarnation)[running.run.task] != running.run.number) {
                 logUnexpected(worker, running.run)
                 val address = worker.report?.address ?: return@forEach
-                effects.call(WorkerCall.Stop(worker.incarnation, address, term, running.run), settings.callTimeoutMillis)
+                effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, running.run), settings.callTimeoutMillis)
             }
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -18,6 +18,9 @@
     private val byAddress = HashMap<String, LinkedHashSet<WorkerRecord>>()
     private val touched = LinkedHashSet<WorkerRecord>()
 
+    /** Number of records added so far. */
+    private var records = 0
+
     /** Incremented whenever a worker appears or becomes able or unable to get runs. */
     var changes = 0L
         private set
@@ -48,7 +51,9 @@
         now: Long = startedAt,
     ): WorkerRecord =
         byIncarnation.getOrPut(incarnation) {
-            WorkerRecord(incarnation, maxOf(now, startedAt)).also { byId.getOrPut(incarnation.id) { LinkedHashSet() }.add(it) }
+            WorkerRecord(incarnation, maxOf(now, startedAt), FencingToken.of(term, ++records)).also {
+                byId.getOrPut(incarnation.id) { LinkedHashSet() }.add(it)
+            }
         }
 
     /**
@@ -100,7 +105,7 @@
     private fun verifyAddress(worker: WorkerRecord) {
         val address = worker.report?.address
         if (worker.terminated || worker.addressProbe != null || address == null) return
-        val probe = WorkerCall.Renew(worker.incarnation, address, term, lastSeen = 0, deadlineMillis = null, waitMillis = 0)
+        val probe = WorkerCall.Renew(worker.incarnation, address, worker.fencingToken, lastSeen = 0, deadlineMillis = null, waitMillis = 0)
         worker.addressProbe = probe
         worker.addressDoubted = true
         changes++
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -5,6 +5,7 @@
 import rhubarbknot.flow.dispatch.DispatchSettings
 import rhubarbknot.flow.dispatch.Dispatcher
 import rhubarbknot.flow.dispatch.EligibilityReply
+import rhubarbknot.flow.dispatch.FencingToken
 import rhubarbknot.flow.model.WorkerReport
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowOutcome
@@ -169,7 +170,7 @@
             is NodeEvent.WorkerReplied ->
                 dispatcher
                     ?.takeIf {
-                        event.call.fencingToken == replica.term
+                        FencingToken.termOf(event.call.fencingToken) == replica.term
                     }?.workerReplied(event.call, event.reply, event.sentAt, now)
             is NodeEvent.EligibilityReplied -> eligibilityReplied(event, now)
             NodeEvent.Shutdown -> {
