--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -92,6 +92,8 @@
      */
     fun moveTo(successor: WorkerRecord) {
         worker = successor
+        // The successor knows nothing of a stop that its predecessor acknowledged.
+        stoppedAt = Long.MAX_VALUE
         if (stage == RunStage.PROPOSED || stage == RunStage.STARTING) {
             startUncertain = startUncertain || callInFlight
             stopWanted = true
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -30,8 +30,8 @@
         workers.touch(worker)
         updateConnection(worker, reply, now)
         when (call) {
-            is WorkerCall.Start -> startReplied(call, reply, now)
-            is WorkerCall.Stop -> stopReplied(call, reply, now)
+            is WorkerCall.Start -> startReplied(worker, call, reply, now)
+            is WorkerCall.Stop -> stopReplied(worker, call, reply, now)
             is WorkerCall.Renew -> renewReplied(worker, call, reply, sentAt, now)
         }
     }
@@ -78,11 +78,13 @@
     }
 
     private fun startReplied(
+        worker: WorkerRecord,
         call: WorkerCall.Start,
         reply: WorkerReply,
         now: Long,
     ) {
-        val record = runs.of(call.run) ?: return
+        // The answer of an earlier incarnation says nothing about the one to which the run has moved.
+        val record = runs.of(call.run)?.takeIf { it.worker === worker } ?: return
         record.callInFlight = false
         // Once the worker has listed the run, responses to earlier or repeated starts carry no new information.
         if (record.stage != RunStage.STARTING) return
@@ -152,11 +154,12 @@
     }
 
     private fun stopReplied(
+        worker: WorkerRecord,
         call: WorkerCall.Stop,
         reply: WorkerReply,
         now: Long,
     ) {
-        val record = runs.of(call.run) ?: return
+        val record = runs.of(call.run)?.takeIf { it.worker === worker } ?: return
         record.callInFlight = false
         record.retryAt = now + settings.retryMillis
         if (reply is WorkerReply.Done || (reply is WorkerReply.Refused && reply.reason == RefusalReason.OLD_RUN)) {
--- a/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
@@ -7,10 +7,13 @@
 import rhubarbknot.flow.FlowFixture.step
 import rhubarbknot.flow.dispatch.FencingToken
 import rhubarbknot.flow.dispatch.NumberedRunEnd
+import rhubarbknot.flow.dispatch.RunningRun
 import rhubarbknot.flow.dispatch.WorkerCall
 import rhubarbknot.flow.dispatch.WorkerReply
+import rhubarbknot.flow.state.FlowCommand
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEmpty
@@ -25,6 +28,13 @@
         return bed.dispatchAll().starts.single()
     }
 
+    private fun addW2() = bed.registerWorkers("w2")
+
+    private fun runsOfNext(
+        running: List<RunningRun> = emptyList(),
+        clock: Long = 100,
+    ) = bed.runsReply(running, born = 2, clock = clock)
+
     /** Restarts w1 and returns the first renewal that the new incarnation gets. */
     private fun restart(): WorkerCall.Renew {
         bed.dispatcher.workerReported(report("w1", born = 2), bed.now)
@@ -54,4 +64,36 @@
         bed.dispatcher.workerReported(report("w1", born = 2, sequence = 2), bed.now)
         expectThat(bed.dispatchAll(100).first().fencingToken).isGreaterThan(latest)
     }
+
+    // The stop had been acknowledged by the earlier incarnation; a late start then ran in the next one, and the task elsewhere.
+    @Test
+    fun `is asked again to stop a run whose stop its earlier incarnation acknowledged`() {
+        val start = startOnW1()
+        bed.reply(start, WorkerReply.NoResponse)
+        val cancel = FlowCommand.Cancel("a", bed.now)
+        bed.dispatcher.commandApplied(cancel, bed.state.apply(cancel), bed.now)
+        bed.reply(bed.dispatchAll(50).stops.single(), WorkerReply.Done(bed.now))
+        bed.reply(restart(), runsOfNext())
+        expectThat(
+            bed
+                .dispatchAll(100)
+                .stops
+                .map { it.run to it.worker.born },
+        ).isEqualTo(listOf(start.run to 2L))
+    }
+
+    // A late confirmation by the earlier incarnation made the run count as lost while a copy of its start was still under way.
+    @Test
+    fun `does not count as running what its earlier incarnation confirms late`() {
+        val start = startOnW1()
+        addW2()
+        bed.reply(restart(), runsOfNext())
+        bed.reply(start, WorkerReply.Done(bed.now))
+        val calls = bed.dispatchAll(100)
+        expectThat(calls.starts).isEmpty()
+        expectThat(calls.stops.map { it.run to it.worker.born }).isEqualTo(listOf(start.run to 2L))
+        bed.now += 10
+        calls.renewals.forEach { bed.reply(it, runsOfNext()) }
+        expectThat(bed.dispatchAll(100).starts).isEmpty()
+    }
 }
