--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -27,8 +27,9 @@
     private val failures = StepFailures()
     private val eligibility = EligibilityTracker()
     private val runs = RunTracker(state, usage, effects)
-    private val workers = WorkerTracker(settings, term, startedAt, runs, effects)
-    private val callScheduler = WorkerCallScheduler(state, settings, runs, workers, LeaseManager(settings), effects)
+    private val leases = LeaseManager(settings)
+    private val workers = WorkerTracker(settings, term, startedAt, runs, leases, effects)
+    private val callScheduler = WorkerCallScheduler(state, settings, runs, workers, leases, effects)
     private val replyHandler =
         WorkerReplyHandler(state, settings, term, runs, workers, eligibility, ProgressMonitor(settings, durations, runs, effects), effects)
     private val appliedCommands = AppliedCommandHandler(state, settings, runs, workers, durations, failures, effects)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
@@ -4,9 +4,6 @@
 internal class LeaseManager(
     private val settings: DispatchSettings,
 ) {
-    /** Maximum duration of a lease granted now, measured by this host's clock. */
-    private val maxLeaseMillis = settings.leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + MARGIN_MILLIS
-
     /** Lease deadline for a call sent now. It is not extended while calls go unanswered, so that the leader can wait for its expiry. */
     fun grant(
         worker: WorkerRecord,
@@ -19,19 +16,43 @@
         return worker.grantedUntil
     }
 
+    /**
+     * Records that [worker], whose clock shows [reading], has seen this leader's fencing token. Before, it may have executed calls to
+     * an earlier incarnation under its id: their deadlines are on another clock, so it may hold the longest lease.
+     */
+    fun fenced(
+        worker: WorkerRecord,
+        reading: Long,
+    ) {
+        worker.heldUntil = minOf(reading, settings.lateCallMillis) + settings.longestLeaseMillis
+    }
+
     /** Whether every lease that any leader can have granted to the unresponsive [worker] has expired. */
     fun isExpired(
         worker: WorkerRecord,
         now: Long,
     ): Boolean {
         // A lease granted by an earlier leader started no later than the time when this leader learned of the worker.
-        if (now - worker.knownSince <= maxLeaseMillis) return false
+        if (now - worker.knownSince <= onThisClock(longestInheritedLease(worker, now))) return false
         if (worker.fenced && worker.unansweredCalls == 0) return false
         // The worker may have executed a renewal although it has never answered one.
-        if (worker.grantedUntil == Long.MIN_VALUE) return true
-        return worker.clockAtLeast(now, settings.slowClockPerMille) > worker.grantedUntil + MARGIN_MILLIS
+        val deadline = maxOf(worker.grantedUntil, worker.heldUntil)
+        if (deadline == Long.MIN_VALUE) return true
+        return worker.clockAtLeast(now, settings.slowClockPerMille) > deadline + MARGIN_MILLIS
+    }
+
+    /** Longest lease in milliseconds that [worker] may hold since before this leader learned of it. */
+    private fun longestInheritedLease(
+        worker: WorkerRecord,
+        now: Long,
+    ): Long {
+        val isYoung = !worker.fenced && now - worker.incarnation.born <= settings.lateCallMillis + settings.longestLeaseMillis
+        return if (isYoung) settings.longestLeaseMillis else settings.leaseMillis
     }
 
+    /** Longest time on this host's clock that a lease of [leaseMillis] on a worker's clock takes, with a margin. */
+    private fun onThisClock(leaseMillis: Long) = leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + MARGIN_MILLIS
+
     private companion object {
         const val PER_MILLE = 1_000L
         const val MARGIN_MILLIS = 200L
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -31,6 +31,9 @@
     /** Whether the worker has seen this leader's fencing token and so rejects calls of earlier leaders. */
     var fenced = false
 
+    /** Until when calls to an earlier incarnation under the same id can have granted a lease to this one, on the worker's clock. */
+    var heldUntil = Long.MIN_VALUE
+
     /** Whether this incarnation has ended and runs nothing any more. */
     var terminated = false
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -11,6 +11,7 @@
     private val term: Long,
     private val startedAt: Long,
     private val runs: RunTracker,
+    private val leases: LeaseManager,
     private val effects: EffectBuffer,
 ) {
     private val byIncarnation = LinkedHashMap<WorkerIncarnation, WorkerRecord>()
@@ -189,9 +190,13 @@
             .filter { it.born > worker.incarnation.born }
             .maxByOrNull { it.born }
 
-    /** Records that [worker] has seen this leader's fencing token. */
-    fun markFenced(worker: WorkerRecord) {
+    /** Records that [worker], whose clock shows [clockMillis], has seen this leader's fencing token. */
+    fun markFenced(
+        worker: WorkerRecord,
+        clockMillis: Long,
+    ) {
         worker.fenced = true
+        leases.fenced(worker, clockMillis)
         changes++
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTestBed.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTestBed.kt
@@ -67,7 +67,7 @@
     /** Registers the workers [ids] and answers their first renewal, which carries the fencing token. */
     fun registerWorkers(vararg ids: String) {
         ids.forEach { dispatcher.workerReported(report(it, clockMillis = now), now) }
-        dispatchAll().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runsReply()) }
+        dispatchAll().renewals.filter { it.worker.id in ids }.forEach { reply(it, runsReply()) }
     }
 
     fun submit(
--- a/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
@@ -96,4 +96,39 @@
         calls.renewals.forEach { bed.reply(it, runsOfNext()) }
         expectThat(bed.dispatchAll(100).starts).isEmpty()
     }
+
+    // A renewal with a deadline on the clock of the earlier incarnation was executed by the next one, whose clock had started anew.
+    @Test
+    fun `may hold the longest lease that a worker grants, and is waited for as long`() {
+        val start = startOnW1()
+        bed.reply(start, WorkerReply.Done(100))
+        bed.reply(restart(), runsOfNext(listOf(RunningRun(start.run, ""))))
+        expectNoStartWhileSilent(bed.settings.longestLeaseMillis)
+    }
+
+    @Test
+    fun `is waited for as long by a leader that it has not answered yet`() {
+        bed.now += 1
+        val born = bed.now
+        bed.dispatcher.workerReported(report("w1", born = born), bed.now)
+        bed.dispatchAll().renewals.forEach { bed.reply(it, bed.runsReply(born = born, clock = 0)) }
+        bed.submit("a", step())
+        bed.reply(bed.dispatchAll().starts.single(), WorkerReply.Done(100))
+        bed.changeLeader()
+        expectNoStartWhileSilent(bed.settings.longestLeaseMillis)
+    }
+
+    /** Lets w1 be silent; its task must not start on w2 for [millis], but soon afterwards. */
+    private fun expectNoStartWhileSilent(millis: Long) {
+        addW2()
+        bed.reply(bed.lastRenewal("w1"), WorkerReply.NoResponse)
+        val silentSince = bed.now
+        while (bed.now - silentSince < millis) {
+            val calls = bed.dispatchAll(500)
+            expectThat(calls.starts).isEmpty()
+            calls.forEach { bed.reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else bed.runsReply()) }
+            bed.dispatcher.workerReported(report("w2", clockMillis = bed.now, sequence = bed.now), bed.now)
+        }
+        expectThat(bed.dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
+    }
 }
