--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
@@ -5,6 +5,7 @@
  *
  * @property leaseMillis how long a worker may keep running its tasks without a renewal. Long enough to survive a
  * network partition of an availability zone, short enough that the work of a lost worker is soon restarted elsewhere.
+ * @property drainingLeaseMillis the same for a draining worker, since its end is known only by the expiry of its lease.
  * @property longestLeaseMillis longest lease that a worker grants, whatever the deadline of a call says.
  * @property renewWaitMillis how long the worker may hold a renewal open while it waits for a run to end.
  * @property callTimeoutMillis time without a response after which the outcome of a call is treated as unknown.
@@ -13,7 +14,6 @@
  * @property reportTimeoutMillis time without a report after which nothing is started on a worker.
  * @property forgetMillis time without a report after which the record of an idle worker is removed.
  * @property departureMillis time after a worker's leave message until it no longer answers calls.
- * @property maxMessageDelayMillis how long a worker's message may be held up, for example by a control node that is paused.
  * @property lateCallMillis how long after its sending a call without a response may still be executed.
  * @property stopMillis maximum time that a worker takes to stop a run.
  * @property distrustMillis how long a worker whose runs fail gets no new runs.
@@ -25,6 +25,7 @@
  */
 data class DispatchSettings(
     val leaseMillis: Long = 6_000,
+    val drainingLeaseMillis: Long = 3_000,
     val longestLeaseMillis: Long = 10_000,
     val renewWaitMillis: Long = 1_000,
     val callTimeoutMillis: Long = 500,
@@ -33,7 +34,6 @@
     val reportTimeoutMillis: Long = 5_000,
     val forgetMillis: Long = 20_000,
     val departureMillis: Long = 1_000,
-    val maxMessageDelayMillis: Long = 15_000,
     val lateCallMillis: Long = 12_500,
     val stopMillis: Long = 900,
     val distrustMillis: Long = 4_000,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
@@ -11,7 +11,8 @@
     ): Long {
         if (worker.unansweredCalls == 0 || worker.grantedUntil == Long.MIN_VALUE) {
             val reading = worker.clockAtLeast(now, settings.slowClockPerMille)
-            worker.grantedUntil = maxOf(worker.grantedUntil, reading + settings.leaseMillis)
+            val leaseMillis = if (worker.report?.draining == true) settings.drainingLeaseMillis else settings.leaseMillis
+            worker.grantedUntil = maxOf(worker.grantedUntil, reading + leaseMillis)
         }
         return worker.grantedUntil
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -19,10 +19,6 @@
         now: Long,
     ) {
         if (worker.terminated) return
-        if (worker.unansweredCalls > 0 && worker.isLeaveDue(now, settings.departureMillis) && mustHaveLeft(worker, now)) {
-            workers.markTerminated(worker, now, "left")
-            return
-        }
         if (worker.runs.values.any { it.stage != RunStage.PROPOSED && !it.ending } && leases.isExpired(worker, now)) {
             val lease = RunBeliefs.describeLease(worker, now)
             effects.logEvent(DispatchEvent.LEASE_WAITED_OUT, worker.incarnation.toString(), "runs=${worker.runs.size} $lease")
@@ -34,15 +30,6 @@
         sendRenewal(worker, address, now)
     }
 
-    /**
-     * Whether the leave message of the silent [worker] can only have come from this incarnation: it has announced its end, and
-     * it is older than a message of an earlier incarnation that was held up on its way.
-     */
-    private fun mustHaveLeft(
-        worker: WorkerRecord,
-        now: Long,
-    ): Boolean = worker.report?.draining == true && now - worker.incarnation.born > settings.maxMessageDelayMillis
-
     private fun sendRunCalls(
         worker: WorkerRecord,
         address: String,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -46,15 +46,11 @@
                 is WorkerReply.Done -> reply.clockMillis
                 is WorkerReply.Refused -> reply.clockMillis
                 is WorkerReply.Runs -> reply.clockMillis
-                WorkerReply.NotSent, WorkerReply.NoResponse -> {
+                // Neither silence nor a refused connection shows that the worker has ended: both may come from a network partition.
+                WorkerReply.NotSent, WorkerReply.NoResponse, WorkerReply.ConnectionRefused -> {
                     recordUnansweredCall(worker)
                     return
                 }
-                WorkerReply.ConnectionRefused -> {
-                    recordUnansweredCall(worker)
-                    if (worker.isLeaving) workers.markTerminated(worker, now, "left and refuses connections")
-                    return
-                }
             }
         if (worker.unansweredCalls >
             UNREACHABLE_LOG_THRESHOLD
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -121,9 +121,9 @@
     }
 
     /**
-     * Gives no more runs to the worker called [id] until it is known which of its incarnations has left: a late message of an
-     * earlier incarnation must not end the runs of a later one. An incarnation that refuses connections has ended, and so has a
-     * silent one that must have sent the message itself; one that still lists its runs after the time of departure has not left.
+     * Gives no more runs to the worker called [id] until it is known which of its incarnations has left: the message may be a late
+     * one of an earlier incarnation, and its sender may go on for a while. One that still lists its runs after the time of departure
+     * has not left; the runs of one that falls silent are over when its lease is.
      */
     fun markLeaving(
         id: String,
