--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -158,7 +158,8 @@
         val job = jobs[id.job] ?: return
         val task = job.task(id) ?: return
         if (end.checkpoint.isNotEmpty()) storeCheckpoint(job, id, end.checkpoint)
-        if (end.run.number != task.run || task.worker == null) return
+        // A worker that was given up may list an end as done before the task is started again: then it needs no other run.
+        if (end.run.number != task.run || (task.worker == null && end.ending != RunOutcome.DONE)) return
         clearWorker(id, task)
         val spec = job.request.steps[id.step]
         when (end.ending) {
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -75,6 +75,29 @@
         expectThat(phase("a")).isEqualTo(JobPhase.COMPLETED)
     }
 
+    // A worker came back with the end of a task that was then acknowledged, dropped, and run again.
+    @Test
+    fun `counts a task as done by a run that was given up, as long as no later run is assigned`() {
+        submit("a", step())
+        assign(run("a"))
+        reportEnd(run("a"), RunOutcome.LOST)
+        reportEnd(run("a"))
+        expectThat(phase("a")).isEqualTo(JobPhase.COMPLETED)
+        expectThat(assign(run("a", number = 2))).isEqualTo(0)
+    }
+
+    @Test
+    fun `does not count a task as done by an earlier run than the one that may exist`() {
+        submit("a", step())
+        assign(run("a"))
+        reportEnd(run("a"), RunOutcome.LOST)
+        assign(run("a", number = 2))
+        reportEnd(run("a"))
+        expectThat(phase("a")).isEqualTo(JobPhase.RUNNING)
+        reportEnd(run("a", number = 2))
+        expectThat(phase("a")).isEqualTo(JobPhase.COMPLETED)
+    }
+
     @Test
     fun `assigns no second run of a task while the first may exist, and none after the task is done`() {
         submit("a", step(2))
