--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunRecord.kt
@@ -55,6 +55,9 @@
     /** When the worker confirmed that it has this run. */
     var confirmedAt = Long.MAX_VALUE
 
+    /** When the last stop was sent; whether or not it is answered, the run may be stopping, and listed nowhere. */
+    var stopSentAt = Long.MIN_VALUE / 2
+
     /** When the worker acknowledged a stop; the run may continue for the duration of a stop. */
     var stoppedAt = Long.MAX_VALUE
     var checkpoint = ""
@@ -94,6 +97,7 @@
         worker = successor
         // The successor knows nothing of a stop that its predecessor acknowledged.
         stoppedAt = Long.MAX_VALUE
+        stopSentAt = Long.MIN_VALUE / 2
         if (stage == RunStage.PROPOSED || stage == RunStage.STARTING) {
             startUncertain = startUncertain || callInFlight
             stopWanted = true
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -40,14 +40,11 @@
             when {
                 run.stage == RunStage.PROPOSED -> Unit
                 run.stopWanted && run.stage == RunStage.STARTING && !run.startUncertain ->
-                    runs.rejectRun(
-                        run,
-                        now,
-                        "stopped before its start",
-                    )
+                    runs.rejectRun(run, now, "stopped before its start")
                 run.stopWanted && !run.stopAcknowledged -> {
                     run.callInFlight = true
                     logFirstStop(run, worker)
+                    run.stopSentAt = now
                     effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, run.run), settings.callTimeoutMillis)
                 }
                 run.stage == RunStage.STARTING && !run.stopWanted -> sendStart(run, worker, address, now)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -298,11 +298,20 @@
         sentAt: Long,
     ): Boolean =
         when {
-            run.stage == RunStage.PROPOSED -> false
-            run.stopAcknowledged -> run.stoppedAt + settings.stopMillis + STOP_MARGIN_MILLIS < sentAt
+            run.stage == RunStage.PROPOSED || mayBeStopping(run, sentAt) -> false
+            run.stopAcknowledged -> true
             else -> run.stage == RunStage.INHERITED || run.confirmedAt < sentAt
         }
 
+    /** Whether a stop of [run], answered or not, may still be in progress at [sentAt]. */
+    private fun mayBeStopping(
+        run: RunRecord,
+        sentAt: Long,
+    ): Boolean {
+        val lastStopAt = if (run.stopAcknowledged) run.stoppedAt else run.stopSentAt
+        return sentAt <= lastStopAt + settings.stopMillis + STOP_MARGIN_MILLIS
+    }
+
     private companion object {
         /** A lost call is repeated almost immediately; the delay prevents a tight loop. */
         const val RESEND_MILLIS = 20L
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -476,6 +476,28 @@
             expectThat(startCalls(dispatchAll(300))).isEmpty()
         }
 
+        // The answer to a stop was lost; its run, in neither list while it was stopping, ran on beside the next one.
+        @Test
+        fun `gives a run that is listed nowhere the time of a stop whose answer was lost`() {
+            val start = submitAndStart()
+            reply(start, WorkerReply.NoResponse)
+            val retried = startCalls(dispatchAll(50)).single()
+            reply(retried, WorkerReply.Refused(RefusalReason.TICKET, now))
+            val renewal = sentCalls.filterIsInstance<WorkerCall.Renew>().single { it.worker == start.worker }
+            reply(renewal, runsReply(running = listOf(RunningRun(start.run, ""))))
+            val calls = dispatchAll(300)
+            val stop = calls.filterIsInstance<WorkerCall.Stop>().single()
+            val stoppedAt = now
+            var pending = calls
+            while (now - stoppedAt < settings.stopMillis) {
+                now += 100
+                pending.filterIsInstance<WorkerCall.Stop>().filter { it === stop }.forEach { reply(it, WorkerReply.NoResponse) }
+                pending.filterIsInstance<WorkerCall.Renew>().filter { it.worker == start.worker }.forEach { reply(it, runsReply()) }
+                pending = dispatchAll()
+                expectThat(startCalls(pending)).isEmpty()
+            }
+        }
+
         @Test
         fun `acknowledges an end only after it is committed`() {
             val start = submitAndStart()
