Log: ends of lasting runs explain a restart; stale_end tells of a leader's first list

Change: stale_end says firstEnds=true for the first ends that a worker lists to a leader; lasting runs keep the reason.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunEndReasons.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunEndReasons.kt
@@ -6,7 +6,7 @@
 import rhubarbknot.flow.model.WorkerIncarnation
 
 /**
- * Why a run ended other than with [RunOutcome.DONE], as this leader decided or saw it.
+ * Why a run ended after which its task may be started again, as this leader decided or saw it.
  *
  * @property cause what the leader took for the proof that nothing runs any more; empty for an end that the worker listed.
  */
@@ -32,7 +32,7 @@
     ) {
         val task = end.run.task
         byTask.remove(task)
-        if (end.ending == RunOutcome.DONE) return
+        if (end.ending == RunOutcome.DONE && !record.spec.lasting) return
         byTask[task] = RunEndReason(end.run.number, end.ending, record.worker.incarnation, record.endCause, now)
         if (byTask.size > capacity) byTask.remove(byTask.keys.first())
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -249,8 +249,8 @@
     ) {
         val newEnds = reply.ended.filter { it.number > worker.lastProposedEnd }
         if (newEnds.isEmpty()) return
-        worker.lastProposedEnd = newEnds.maxOf { it.number }
         newEnds.filter { beliefs.isStale(it.end, worker.incarnation) }.forEach { logStale(it.end, worker) }
+        worker.lastProposedEnd = newEnds.maxOf { it.number }
         newEnds.mapNotNull { runs.of(it.end.run) }.forEach { record ->
             record.markEndListed(now)
             runs.markStarted(record)
@@ -262,7 +262,9 @@
         end: RunEnd,
         worker: WorkerRecord,
     ) {
-        val detail = "run=${end.run.number} how=${end.ending} worker=${worker.incarnation} ${beliefs.describe(end.run.task)}"
+        // The first list of ends that a leader gets may hold some that the leader before has committed but not acknowledged.
+        val source = "how=${end.ending} worker=${worker.incarnation} firstEnds=${worker.lastProposedEnd == 0L}"
+        val detail = "run=${end.run.number} $source ${beliefs.describe(end.run.task)}"
         effects.logEvent(DispatchEvent.STALE_END, end.run.task.toString(), detail)
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/RunLogSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RunLogSpec.kt
@@ -18,6 +18,7 @@
 import rhubarbknot.flow.model.EventVolume
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.RunOutcome
+import rhubarbknot.flow.model.StepSpec
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
 import strikt.api.expectThat
@@ -75,8 +76,11 @@
         dispatch().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runList(born = 1)) }
     }
 
-    private fun submit(id: String): WorkerCall.Start {
-        val command = FlowCommand.Submit(request(id, step()), now)
+    private fun submit(
+        id: String,
+        spec: StepSpec = step(),
+    ): WorkerCall.Start {
+        val command = FlowCommand.Submit(request(id, spec), now)
         dispatcher.commandApplied(command, state.apply(command), now)
         return starts(dispatch()).single()
     }
@@ -139,6 +143,17 @@
             expectThat(details(DispatchEvent.RUN_RESTARTED)).isEqualTo(listOf("run=2 worker=w1/1 previous=unknown to this leader"))
         }
 
+        @Test
+        fun `names the end of a lasting run that its worker listed`() {
+            register("w1")
+            val start = submit("a", step().copy(lasting = true))
+            reply(start, WorkerReply.Done(now))
+            reply(renewalOf("w1"), runList(born = 1, ended = listOf(NumberedRunEnd(1, FlowFixture.end(start.run)))))
+            dispatch()
+            expectThat(details(DispatchEvent.RUN_RESTARTED))
+                .isEqualTo(listOf("run=2 worker=w1/1 previous=1@w1/1 how=DONE cause=listed by its worker ended=0ms"))
+        }
+
         @Test
         fun `says nothing of first runs`() {
             register("w1")
@@ -217,7 +232,7 @@
             reply(renewalOf("w1"), runList(born = 1, ended = listOf(NumberedRunEnd(1, FlowFixture.end(start.run)))))
             dispatch()
             expectThat(details(DispatchEvent.STALE_END)).hasSize(1)
-            expectThat(details(DispatchEvent.STALE_END).single()).contains("run=1 how=DONE worker=w1/1 tracked=2@w2/1")
+            expectThat(details(DispatchEvent.STALE_END).single()).contains("run=1 how=DONE worker=w1/1 firstEnds=true tracked=2@w2/1")
         }
 
         @Test
@@ -229,7 +244,7 @@
             dispatch()
             reply(renewalOf("w1", born = 2), runList(born = 2, ended = listOf(NumberedRunEnd(1, FlowFixture.end(start.run)))))
             dispatch()
-            expectThat(details(DispatchEvent.STALE_END).single()).contains("run=1 how=DONE worker=w1/2 tracked=1@w1/2")
+            expectThat(details(DispatchEvent.STALE_END).single()).contains("run=1 how=DONE worker=w1/2 firstEnds=true tracked=1@w1/2")
             expectThat(details(DispatchEvent.STALE_END).single()).contains("state=1@w1/1")
         }
 
