Event log: 4,000 key lines a second

Cause: a rack or a zone of workers that is lost at once causes a run_lost and a run_restarted for each of its runs. Change: the limit of key lines is as high as the space that the queue keeps for them.

--- a/flowd/src/main/kotlin/rhubarbknot/flowd/EventLog.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/EventLog.kt
@@ -117,7 +117,7 @@
         const val DEFAULT_PLENTIFUL_LINES_PER_SECOND = 500
 
         /** Lines of [EventVolume.KEY] events that are written each second. */
-        const val DEFAULT_KEY_LINES_PER_SECOND = 2_000
+        const val DEFAULT_KEY_LINES_PER_SECOND = 4_000
 
         /** Plentiful lines that wait for the writer at most. */
         const val PLENTIFUL_QUEUE_CAPACITY = 2_000
