--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -257,10 +257,12 @@
         }
     }
 
+    /** A report of a pool that is not configured comes from another writer: it says nothing about the worker whose id it names. */
     private fun reportReceived(
         report: WorkerReport,
         now: Long,
     ) {
+        if (state.configuration?.pools?.none { it.name == report.pool } == true) return
         if (workerReports.add(report, now)) dispatcher?.workerReported(report, now)
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/ControlNodeSpec.kt
@@ -84,6 +84,38 @@
         }
     }
 
+    @Nested
+    @DisplayName("when a report names a pool that is not configured")
+    inner class StrangeReports {
+        private var requests = 0L
+
+        init {
+            lead()
+            sync(handle(NodeEvent.RequestReceived(++requests, FlowRequest.Configure(FlowFixture.configuration()))))
+        }
+
+        private fun report(
+            born: Long,
+            pool: String,
+        ): List<NodeEffect> {
+            val report = FlowFixture.report("w1", born = born).copy(pool = pool)
+            val effects = sync(handle(NodeEvent.RequestReceived(++requests, FlowRequest.Report(report))))
+            now += TICK_MILLIS
+            return effects + sync(handle(NodeEvent.Tick))
+        }
+
+        private fun renewedIncarnations(effects: List<NodeEffect>) =
+            effects.filterIsInstance<NodeEffect.CallWorker>().map { it.call.worker.born }
+
+        // A report of another writer under a worker's id, with a later start, ended the worker's runs while they went on.
+        @Test
+        fun `does not take it for the next incarnation of the worker that it names`() {
+            expectThat(renewedIncarnations(report(born = 1, pool = "pool"))).isEqualTo(listOf(1L))
+            expectThat(renewedIncarnations(report(born = 2, pool = "other"))).isEmpty()
+            expectThat(renewedIncarnations(report(born = 3, pool = "pool"))).isEqualTo(listOf(3L))
+        }
+    }
+
     @Nested
     @DisplayName("when large configurations arrive")
     inner class LargeConfigurations {
