DispatcherSpec: one file for each of its groups

Change: the groups on shared addresses, leave messages and new leaders have files of their own, over one base class; no check changes. Before and after: the same 35 tests and the 8 of RestartedWorkerSpec and InheritedLeaseSpec pass.

--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -3,16 +3,10 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.EnumSource
 import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.FlowFixture.report
-import rhubarbknot.flow.FlowFixture.request
 import rhubarbknot.flow.FlowFixture.step
 import rhubarbknot.flow.dispatch.DispatchEffect
-import rhubarbknot.flow.dispatch.DispatchSettings
-import rhubarbknot.flow.dispatch.Dispatcher
-import rhubarbknot.flow.dispatch.FencingToken
 import rhubarbknot.flow.dispatch.NumberedRunEnd
 import rhubarbknot.flow.dispatch.RefusalReason
 import rhubarbknot.flow.dispatch.RunningRun
@@ -20,7 +14,6 @@
 import rhubarbknot.flow.dispatch.WorkerReply
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.state.FlowCommand
-import rhubarbknot.flow.state.FlowState
 import rhubarbknot.flow.state.JobPhase
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -31,58 +24,7 @@
 import strikt.assertions.isNotEqualTo
 
 @DisplayName("the dispatcher")
-class DispatcherSpec {
-    private val settings = DispatchSettings()
-    private val state = FlowState().also { it.apply(FlowCommand.Configure(FlowFixture.configuration())) }
-    private var now = 100_000L
-    private var dispatcher = Dispatcher(state, settings, term = 1, startedAt = now)
-
-    private fun dispatchAll(advanceMillis: Long = 0): List<WorkerCall> {
-        now += advanceMillis
-        val calls = ArrayList<WorkerCall>()
-        // Proposals are committed immediately; several rounds are run so that all resulting calls are sent.
-        repeat(ROUNDS) {
-            dispatcher.dispatchDue(now)
-            dispatcher.drain().forEach { effect ->
-                when (effect) {
-                    is DispatchEffect.Propose -> dispatcher.commandApplied(effect.command, state.apply(effect.command), now)
-                    is DispatchEffect.Call -> calls += effect.call
-                    else -> Unit
-                }
-            }
-        }
-        return calls
-    }
-
-    private fun reply(
-        call: WorkerCall,
-        reply: WorkerReply,
-        sentAt: Long = now,
-    ) = dispatcher.workerReplied(call, reply, sentAt, now)
-
-    private fun runsReply(
-        running: List<RunningRun> = emptyList(),
-        ended: List<NumberedRunEnd> = emptyList(),
-        born: Long = 1,
-        clock: Long = now,
-    ) = WorkerReply.Runs(born, clock, running, ended)
-
-    /** Registers the workers [ids] and answers their first renewal, which carries the fencing token. */
-    private fun registerWorkers(vararg ids: String) {
-        ids.forEach { dispatcher.workerReported(report(it, clockMillis = now), now) }
-        dispatchAll().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runsReply()) }
-    }
-
-    private fun submit(
-        id: String,
-        vararg steps: rhubarbknot.flow.model.StepSpec,
-    ) {
-        val command = FlowCommand.Submit(request(id, *steps), now)
-        dispatcher.commandApplied(command, state.apply(command), now)
-    }
-
-    private fun startCalls(calls: List<WorkerCall>) = calls.filterIsInstance<WorkerCall.Start>()
-
+class DispatcherSpec : DispatcherTest() {
     @Test
     fun `starts no run on a worker that has not seen the fencing token`() {
         submit("a", step())
@@ -156,182 +98,6 @@
         expectThat(startCalls(dispatchAll(200)).single().worker.id).isEqualTo("w3")
     }
 
-    @Nested
-    @DisplayName("when a report names the address of another worker")
-    inner class SharedAddresses {
-        private fun startOnW1(): WorkerCall.Start {
-            registerWorkers("w1")
-            submit("a", step())
-            val start = startCalls(dispatchAll()).single()
-            reply(start, WorkerReply.Done(now))
-            registerWorkers("w2")
-            return start
-        }
-
-        private fun probeOf(calls: List<WorkerCall>) =
-            calls.filterIsInstance<WorkerCall.Renew>().first { it.worker.id == "w1" && it.deadlineMillis == null }
-
-        private fun reportIntruder() = dispatcher.workerReported(report("x", born = 2, address = report("w1").address), now)
-
-        // An entry of another writer at a worker's address had all its runs started again elsewhere while they went on.
-        @Test
-        fun `keeps the runs of a worker that still answers there`() {
-            val start = startOnW1()
-            reportIntruder()
-            val calls = dispatchAll()
-            expectThat(startCalls(calls)).isEmpty()
-            reply(probeOf(calls), runsReply(listOf(RunningRun(start.run, ""))))
-            expectThat(startCalls(dispatchAll())).isEmpty()
-            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
-            expectThat(dispatcher.workerCounts(now).first).isEqualTo(2)
-        }
-
-        @Test
-        fun `starts nothing more on it before it has answered`() {
-            startOnW1()
-            reportIntruder()
-            submit("b", step(2))
-            expectThat(startCalls(dispatchAll(200)).map { it.worker.id }.toSet()).isEqualTo(setOf("w2"))
-        }
-
-        @Test
-        fun `starts its runs elsewhere once another worker answers there`() {
-            val start = startOnW1()
-            reportIntruder()
-            reply(probeOf(dispatchAll()), WorkerReply.Refused(RefusalReason.OTHER_LIFE, null))
-            val next = startCalls(dispatchAll()).single()
-            expectThat(next.run.task).isEqualTo(start.run.task)
-            expectThat(next.worker.id).isEqualTo("w2")
-        }
-    }
-
-    @Nested
-    @DisplayName("when a leave message arrives")
-    inner class LeaveMessages {
-        private val departureMillis = settings.departureMillis
-
-        private fun startOnW1(born: Long): WorkerCall.Start {
-            dispatcher.workerReported(report("w1", born = born, clockMillis = now), now)
-            dispatchAll().filterIsInstance<WorkerCall.Renew>().forEach { reply(it, runsReply(born = born)) }
-            submit("a", step())
-            val calls = dispatchAll()
-            val start = startCalls(calls).single()
-            reply(start, WorkerReply.Done(now))
-            answerRenewals(calls + dispatchAll()) { runsReply(listOf(RunningRun(start.run, "")), born = born) }
-            return start
-        }
-
-        private fun addW2(
-            start: WorkerCall.Start,
-            born: Long = 2,
-        ) {
-            dispatcher.workerReported(report("w2", clockMillis = now), now)
-            val (second, first) = dispatchAll().filterIsInstance<WorkerCall.Renew>().partition { it.worker.id == "w2" }
-            second.forEach { reply(it, runsReply()) }
-            answerRenewals(first) { runsReply(listOf(RunningRun(start.run, "")), born = born) }
-        }
-
-        private fun answerRenewals(
-            calls: List<WorkerCall>,
-            answer: () -> WorkerReply,
-        ) = calls.filterIsInstance<WorkerCall.Renew>().filter { it.worker.id == "w1" }.forEach { reply(it, answer()) }
-
-        // A task ran twice after a leave message of its worker's earlier incarnation had been delivered late.
-        @Test
-        fun `keeps the runs of an incarnation that still lists them after a leave message of an earlier one`() {
-            dispatcher.workerReported(report("w1", born = 1, clockMillis = now, draining = true), now)
-            val start = startOnW1(born = 2)
-            addW2(start)
-            dispatcher.workerLeft("w1", now)
-            repeat(4) { round ->
-                val calls = dispatchAll(departureMillis / 2)
-                expectThat(startCalls(calls)).isEmpty()
-                answerRenewals(calls) { runsReply(listOf(RunningRun(start.run, "", percent = 10 * round)), born = 2) }
-            }
-            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
-            // The worker counts again as one that may get runs.
-            expectThat(dispatcher.workerCounts(now).first).isEqualTo(2)
-        }
-
-        // The same, while the leader can not reach the worker: silence is no proof that the incarnation has ended.
-        @Test
-        fun `waits for the lease of a worker that neither answers nor refuses connections`() {
-            val start = startOnW1(born = 2)
-            addW2(start)
-            dispatcher.workerLeft("w1", now)
-            val silentSince = now
-            while (now - silentSince < settings.leaseMillis) {
-                val calls = dispatchAll(departureMillis / 2)
-                dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
-                expectThat(startCalls(calls)).isEmpty()
-                answerRenewals(calls) { WorkerReply.NoResponse }
-            }
-            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
-        }
-
-        // A worker that had announced its end and sent its leave message lived on behind a partition, and its tasks ran twice.
-        @ParameterizedTest
-        @EnumSource(Silence::class)
-        fun `waits for the lease of a worker that drained, has left and is silent`(silence: Silence) {
-            val start = startOnW1(born = 2)
-            addW2(start)
-            dispatcher.workerReported(report("w1", born = 2, clockMillis = now, sequence = 2, draining = true), now)
-            dispatcher.workerLeft("w1", now)
-            val silentSince = now
-            while (now - silentSince < settings.leaseMillis) {
-                val calls = dispatchAll(departureMillis / 2)
-                dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
-                expectThat(startCalls(calls)).isEmpty()
-                answerRenewals(calls) { silence.reply }
-            }
-            val next = startCalls(dispatchAll(departureMillis)).single()
-            expectThat(next.run.task).isEqualTo(start.run.task)
-            expectThat(next.worker.id).isEqualTo("w2")
-        }
-
-        // A message of an earlier incarnation may be held up until a later one drains and can not be reached.
-        @Test
-        fun `waits for the lease of a silent worker that drains but has only just started`() {
-            val born = now - LATEST_MESSAGE_MILLIS
-            val start = startOnW1(born)
-            addW2(start, born)
-            dispatcher.workerReported(report("w1", born = born, clockMillis = now, sequence = 2, draining = true), now)
-            dispatcher.workerLeft("w1", now - departureMillis)
-            answerRenewals(dispatchAll()) { WorkerReply.NoResponse }
-            expectThat(startCalls(dispatchAll())).isEmpty()
-            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
-        }
-
-        @Test
-        fun `grants a draining worker short leases, so that its runs are soon over after its end`() {
-            val start = startOnW1(born = 2)
-            addW2(start)
-            dispatcher.workerReported(report("w1", born = 2, clockMillis = now, sequence = 2, draining = true), now)
-            val drainingSince = now
-            while (now - drainingSince < settings.leaseMillis) {
-                answerRenewals(dispatchAll(departureMillis / 2)) { runsReply(listOf(RunningRun(start.run, "")), born = 2) }
-            }
-            dispatcher.workerLeft("w1", now)
-            val leftAt = now
-            while (now - leftAt < settings.drainingLeaseMillis + departureMillis) {
-                dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
-                val calls = dispatchAll(departureMillis / 2)
-                answerRenewals(calls) { WorkerReply.ConnectionRefused }
-                if (startCalls(calls).isNotEmpty()) return
-            }
-            expectThat(now - leftAt).isLessThanOrEqualTo(settings.drainingLeaseMillis)
-        }
-
-        @Test
-        fun `does not take a refused connection alone for the end of a worker`() {
-            val start = startOnW1(born = 2)
-            addW2(start)
-            answerRenewals(dispatchAll(settings.renewWaitMillis)) { WorkerReply.ConnectionRefused }
-            expectThat(startCalls(dispatchAll())).isEmpty()
-            expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
-        }
-    }
-
     @Nested
     @DisplayName("when it starts a run")
     inner class StartCalls {
@@ -369,7 +135,7 @@
         @Test
         fun `does not count a job of an earlier leader's runs as pending`() {
             submitAndStart()
-            dispatcher = Dispatcher(state, settings, term = 2, startedAt = now)
+            changeLeader()
             expectThat(dispatcher.unstartedJobs("q")).isEqualTo(0)
         }
 
@@ -533,58 +299,6 @@
         }
     }
 
-    @Nested
-    @DisplayName("after a leader change")
-    inner class NewLeader {
-        private fun changeLeader(): WorkerCall.Start {
-            registerWorkers("w1")
-            submit("a", step())
-            val start = startCalls(dispatchAll()).single()
-            now += 1_000
-            dispatcher = Dispatcher(state, settings, term = 2, startedAt = now)
-            return start
-        }
-
-        @Test
-        fun `restarts a run that its worker does not list after seeing the new fencing token`() {
-            val start = changeLeader()
-            dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
-            reply(dispatchAll().filterIsInstance<WorkerCall.Renew>().single(), runsReply())
-            val restarted = startCalls(dispatchAll(200)).single()
-            expectThat(FencingToken.termOf(restarted.fencingToken)).isEqualTo(2)
-            expectThat(restarted.run.number).isEqualTo(start.run.number + 1)
-        }
-
-        @Test
-        fun `keeps a run that its worker lists`() {
-            val start = changeLeader()
-            dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
-            reply(dispatchAll().filterIsInstance<WorkerCall.Renew>().single(), runsReply(running = listOf(RunningRun(start.run, "saved"))))
-            expectThat(startCalls(dispatchAll(200))).isEmpty()
-            expectThat(state.runsOn(start.worker).size).isEqualTo(1)
-        }
-
-        @Test
-        fun `waits for the longest possible lease of an unreachable worker to expire`() {
-            changeLeader()
-            dispatcher.workerReported(report("w2", clockMillis = now), now)
-            dispatchAll().filterIsInstance<WorkerCall.Renew>().filter { it.worker.id == "w2" }.forEach { reply(it, runsReply()) }
-            expectThat(startCalls(dispatchAll(settings.leaseMillis))).isEmpty()
-            dispatcher.workerReported(report("w2", clockMillis = now, sequence = 2), now)
-            expectThat(startCalls(dispatchAll(settings.leaseMillis / 10)).single().worker.id).isEqualTo("w2")
-        }
-
-        @Test
-        fun `stops runs that are not in the log`() {
-            registerWorkers("w1")
-            dispatcher = Dispatcher(state, settings, term = 2, startedAt = now)
-            dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
-            val unknownRun = FlowFixture.run("stray")
-            reply(dispatchAll().filterIsInstance<WorkerCall.Renew>().single(), runsReply(running = listOf(RunningRun(unknownRun, ""))))
-            expectThat(dispatchAll().filterIsInstance<WorkerCall.Stop>().single().run).isEqualTo(unknownRun)
-        }
-    }
-
     @Test
     fun `stops the runs of a cancelled job and frees their resources only after the stop has completed`() {
         registerWorkers("w1")
@@ -601,20 +315,7 @@
         expectThat(state.runsOn(started.first().worker).size).isEqualTo(4)
     }
 
-    /** How a worker that can't be reached answers. */
-    enum class Silence(
-        val reply: WorkerReply,
-    ) {
-        NO_RESPONSE(WorkerReply.NoResponse),
-        CONNECTION_REFUSED(WorkerReply.ConnectionRefused),
-    }
-
     private companion object {
-        const val ROUNDS = 4
-
-        /** How long a leave message may be held up, in milliseconds. */
-        const val LATEST_MESSAGE_MILLIS = 15_000L
-
         /** The shortest time in which a worker of the simulation restarts, in milliseconds. */
         const val FASTEST_RESTART_MILLIS = 200L
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTestBed.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTest.kt
@@ -13,27 +13,26 @@
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
 
-/** A [Dispatcher] whose proposals are committed at once, and whose worker calls are answered by the test. */
-internal class DispatcherTestBed(
-    val settings: DispatchSettings = DispatchSettings(),
-) {
-    val state = FlowState().also { it.apply(FlowCommand.Configure(FlowFixture.configuration())) }
-    var now = 100_000L
-    var dispatcher = Dispatcher(state, settings, term = 1, startedAt = now)
+/** Base of the specs of a [Dispatcher]: its proposals are committed at once, and its worker calls are answered by the spec. */
+abstract class DispatcherTest {
+    protected val settings = DispatchSettings()
+    protected val state = FlowState().also { it.apply(FlowCommand.Configure(FlowFixture.configuration())) }
+    protected var now = 100_000L
+    protected var dispatcher = Dispatcher(state, settings, term = 1, startedAt = now)
         private set
     private var term = 1L
-    val sent = ArrayList<WorkerCall>()
+    protected val sent = ArrayList<WorkerCall>()
 
     /** The latest renewal sent to [worker]. */
-    fun lastRenewal(worker: String): WorkerCall.Renew = sent.renewals.last { it.worker.id == worker }
+    protected fun lastRenewal(worker: String): WorkerCall.Renew = sent.renewals.last { it.worker.id == worker }
 
     /** Replaces the leader by one of the next term. */
-    fun changeLeader() {
+    protected fun changeLeader() {
         dispatcher = Dispatcher(state, settings, ++term, startedAt = now)
     }
 
     /** Advances the time by [advanceMillis] and returns the calls that the dispatcher then sends. */
-    fun dispatchAll(advanceMillis: Long = 0): List<WorkerCall> {
+    protected fun dispatchAll(advanceMillis: Long = 0): List<WorkerCall> {
         now += advanceMillis
         val calls = ArrayList<WorkerCall>()
         // Several rounds are run so that all calls that result from the commits are sent.
@@ -51,13 +50,13 @@
         return calls
     }
 
-    fun reply(
+    protected fun reply(
         call: WorkerCall,
         reply: WorkerReply,
         sentAt: Long = now,
     ) = dispatcher.workerReplied(call, reply, sentAt, now)
 
-    fun runsReply(
+    protected fun runsReply(
         running: List<RunningRun> = emptyList(),
         ended: List<NumberedRunEnd> = emptyList(),
         born: Long = 1,
@@ -65,12 +64,12 @@
     ) = WorkerReply.Runs(born, clock, running, ended)
 
     /** Registers the workers [ids] and answers their first renewal, which carries the fencing token. */
-    fun registerWorkers(vararg ids: String) {
+    protected fun registerWorkers(vararg ids: String) {
         ids.forEach { dispatcher.workerReported(report(it, clockMillis = now), now) }
         dispatchAll().renewals.filter { it.worker.id in ids }.forEach { reply(it, runsReply()) }
     }
 
-    fun submit(
+    protected fun submit(
         id: String,
         vararg steps: StepSpec,
     ) {
@@ -78,6 +77,8 @@
         dispatcher.commandApplied(command, state.apply(command), now)
     }
 
+    protected fun startCalls(calls: List<WorkerCall>) = calls.starts
+
     private companion object {
         const val ROUNDS = 4
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
@@ -12,54 +12,52 @@
 import strikt.assertions.isEqualTo
 
 @DisplayName("leases that an earlier leader granted")
-class InheritedLeaseSpec {
-    private val bed = DispatcherTestBed()
-
+class InheritedLeaseSpec : DispatcherTest() {
     // A task ran twice: the runs of a restarted worker that reported before the term counted as over while their lease lasted.
     @Test
     fun `are waited out from the start of the term, however long ago the worker reported`() {
-        bed.registerWorkers("w1")
-        bed.submit("a", step())
-        val start = bed.dispatchAll().starts.single()
-        bed.reply(start, WorkerReply.Done(bed.now))
-        bed.dispatcher.workerReported(report("w1", born = 2), bed.now)
-        val reportedAt = bed.now
-        bed.now += bed.settings.reportTimeoutMillis
-        val renewal = bed.dispatchAll().renewals.first { it.worker.born == 2L }
-        bed.reply(renewal, bed.runsReply(listOf(RunningRun(start.run, "")), born = 2, clock = bed.settings.reportTimeoutMillis))
-        bed.dispatchAll(100)
-        bed.changeLeader()
-        bed.dispatcher.workerReported(report("w1", born = 2), reportedAt)
-        bed.registerWorkers("w2")
-        val termStartedAt = bed.now
-        while (bed.now - termStartedAt < bed.settings.leaseMillis) {
-            val calls = bed.dispatchAll(500)
+        registerWorkers("w1")
+        submit("a", step())
+        val start = dispatchAll().starts.single()
+        reply(start, WorkerReply.Done(now))
+        dispatcher.workerReported(report("w1", born = 2), now)
+        val reportedAt = now
+        now += settings.reportTimeoutMillis
+        val renewal = dispatchAll().renewals.first { it.worker.born == 2L }
+        reply(renewal, runsReply(listOf(RunningRun(start.run, "")), born = 2, clock = settings.reportTimeoutMillis))
+        dispatchAll(100)
+        changeLeader()
+        dispatcher.workerReported(report("w1", born = 2), reportedAt)
+        registerWorkers("w2")
+        val termStartedAt = now
+        while (now - termStartedAt < settings.leaseMillis) {
+            val calls = dispatchAll(500)
             expectThat(calls.starts).isEmpty()
-            calls.forEach { bed.reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else bed.runsReply()) }
-            bed.dispatcher.workerReported(report("w2", clockMillis = bed.now, sequence = bed.now), bed.now)
+            calls.forEach { reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else runsReply()) }
+            dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
         }
-        expectThat(bed.state.runsOn(start.worker).values).hasSize(1)
+        expectThat(state.runsOn(start.worker).values).hasSize(1)
     }
 
     // A task ran twice: the worker had executed a renewal of the new leader, whose answer was lost, and was cut off.
     @Test
     fun `are extended by renewals that the new leader sends before the first answer`() {
-        bed.registerWorkers("w1")
-        bed.submit("a", step())
-        val start = bed.dispatchAll().starts.single()
-        bed.reply(start, WorkerReply.Done(bed.now))
-        bed.changeLeader()
-        bed.registerWorkers("w2")
-        bed.dispatchAll(REPORT_DELAY_MILLIS)
-        bed.dispatcher.workerReported(report("w1", clockMillis = bed.now, sequence = 2), bed.now)
-        val grantedAt = bed.now
-        while (bed.now - grantedAt < bed.settings.leaseMillis) {
-            val calls = bed.dispatchAll(500)
+        registerWorkers("w1")
+        submit("a", step())
+        val start = dispatchAll().starts.single()
+        reply(start, WorkerReply.Done(now))
+        changeLeader()
+        registerWorkers("w2")
+        dispatchAll(REPORT_DELAY_MILLIS)
+        dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
+        val grantedAt = now
+        while (now - grantedAt < settings.leaseMillis) {
+            val calls = dispatchAll(500)
             expectThat(calls.starts).isEmpty()
-            calls.forEach { bed.reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else bed.runsReply()) }
-            bed.dispatcher.workerReported(report("w2", clockMillis = bed.now, sequence = bed.now), bed.now)
+            calls.forEach { reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else runsReply()) }
+            dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
         }
-        expectThat(bed.dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
+        expectThat(dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
     }
 
     private companion object {
--- a/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
@@ -19,38 +19,36 @@
 import strikt.assertions.isNotEmpty
 
 @DisplayName("a worker that starts again under its id")
-class RestartedWorkerSpec {
-    private val bed = DispatcherTestBed()
-
+class RestartedWorkerSpec : DispatcherTest() {
     private fun startOnW1(): WorkerCall.Start {
-        bed.registerWorkers("w1")
-        bed.submit("a", step())
-        return bed.dispatchAll().starts.single()
+        registerWorkers("w1")
+        submit("a", step())
+        return dispatchAll().starts.single()
     }
 
-    private fun addW2() = bed.registerWorkers("w2")
+    private fun addW2() = registerWorkers("w2")
 
     private fun runsOfNext(
         running: List<RunningRun> = emptyList(),
         clock: Long = 100,
-    ) = bed.runsReply(running, born = 2, clock = clock)
+    ) = runsReply(running, born = 2, clock = clock)
 
     /** Restarts w1 and returns the first renewal that the new incarnation gets. */
     private fun restart(): WorkerCall.Renew {
-        bed.dispatcher.workerReported(report("w1", born = 2), bed.now)
-        return bed.dispatchAll(100).renewals.first { it.worker.born == 2L }
+        dispatcher.workerReported(report("w1", born = 2), now)
+        return dispatchAll(100).renewals.first { it.worker.born == 2L }
     }
 
     // A late acknowledgement discarded an end that was never seen, and the task ran again; a late start ran a task twice.
     @Test
     fun `gets a higher fencing token than every call to its earlier incarnation, so that it refuses late ones`() {
         val start = startOnW1()
-        bed.reply(start, WorkerReply.Done(bed.now))
-        bed.reply(bed.lastRenewal("w1"), bed.runsReply(ended = listOf(NumberedRunEnd(1, end(start.run)))))
-        bed.dispatchAll()
-        val latest = bed.sent.maxOf { it.fencingToken }
+        reply(start, WorkerReply.Done(now))
+        reply(lastRenewal("w1"), runsReply(ended = listOf(NumberedRunEnd(1, end(start.run)))))
+        dispatchAll()
+        val latest = sent.maxOf { it.fencingToken }
         restart()
-        val calls = bed.sent.filter { it.worker.born == 2L }
+        val calls = sent.filter { it.worker.born == 2L }
         expectThat(calls).isNotEmpty().all { get { fencingToken }.isGreaterThan(latest) }
         expectThat(calls.map { FencingToken.termOf(it.fencingToken) }.toSet()).isEqualTo(setOf(1L))
     }
@@ -59,24 +57,23 @@
     fun `gets lower fencing tokens than those of the next leader`() {
         startOnW1()
         restart()
-        val latest = bed.sent.maxOf { it.fencingToken }
-        bed.changeLeader()
-        bed.dispatcher.workerReported(report("w1", born = 2, sequence = 2), bed.now)
-        expectThat(bed.dispatchAll(100).first().fencingToken).isGreaterThan(latest)
+        val latest = sent.maxOf { it.fencingToken }
+        changeLeader()
+        dispatcher.workerReported(report("w1", born = 2, sequence = 2), now)
+        expectThat(dispatchAll(100).first().fencingToken).isGreaterThan(latest)
     }
 
     // The stop had been acknowledged by the earlier incarnation; a late start then ran in the next one, and the task elsewhere.
     @Test
     fun `is asked again to stop a run whose stop its earlier incarnation acknowledged`() {
         val start = startOnW1()
-        bed.reply(start, WorkerReply.NoResponse)
-        val cancel = FlowCommand.Cancel("a", bed.now)
-        bed.dispatcher.commandApplied(cancel, bed.state.apply(cancel), bed.now)
-        bed.reply(bed.dispatchAll(50).stops.single(), WorkerReply.Done(bed.now))
-        bed.reply(restart(), runsOfNext())
+        reply(start, WorkerReply.NoResponse)
+        val cancel = FlowCommand.Cancel("a", now)
+        dispatcher.commandApplied(cancel, state.apply(cancel), now)
+        reply(dispatchAll(50).stops.single(), WorkerReply.Done(now))
+        reply(restart(), runsOfNext())
         expectThat(
-            bed
-                .dispatchAll(100)
+            dispatchAll(100)
                 .stops
                 .map { it.run to it.worker.born },
         ).isEqualTo(listOf(start.run to 2L))
@@ -87,48 +84,48 @@
     fun `does not count as running what its earlier incarnation confirms late`() {
         val start = startOnW1()
         addW2()
-        bed.reply(restart(), runsOfNext())
-        bed.reply(start, WorkerReply.Done(bed.now))
-        val calls = bed.dispatchAll(100)
+        reply(restart(), runsOfNext())
+        reply(start, WorkerReply.Done(now))
+        val calls = dispatchAll(100)
         expectThat(calls.starts).isEmpty()
         expectThat(calls.stops.map { it.run to it.worker.born }).isEqualTo(listOf(start.run to 2L))
-        bed.now += 10
-        calls.renewals.forEach { bed.reply(it, runsOfNext()) }
-        expectThat(bed.dispatchAll(100).starts).isEmpty()
+        now += 10
+        calls.renewals.forEach { reply(it, runsOfNext()) }
+        expectThat(dispatchAll(100).starts).isEmpty()
     }
 
     // A renewal with a deadline on the clock of the earlier incarnation was executed by the next one, whose clock had started anew.
     @Test
     fun `may hold the longest lease that a worker grants, and is waited for as long`() {
         val start = startOnW1()
-        bed.reply(start, WorkerReply.Done(100))
-        bed.reply(restart(), runsOfNext(listOf(RunningRun(start.run, ""))))
-        expectNoStartWhileSilent(bed.settings.longestLeaseMillis)
+        reply(start, WorkerReply.Done(100))
+        reply(restart(), runsOfNext(listOf(RunningRun(start.run, ""))))
+        expectNoStartWhileSilent(settings.longestLeaseMillis)
     }
 
     @Test
     fun `is waited for as long by a leader that it has not answered yet`() {
-        bed.now += 1
-        val born = bed.now
-        bed.dispatcher.workerReported(report("w1", born = born), bed.now)
-        bed.dispatchAll().renewals.forEach { bed.reply(it, bed.runsReply(born = born, clock = 0)) }
-        bed.submit("a", step())
-        bed.reply(bed.dispatchAll().starts.single(), WorkerReply.Done(100))
-        bed.changeLeader()
-        expectNoStartWhileSilent(bed.settings.longestLeaseMillis)
+        now += 1
+        val born = now
+        dispatcher.workerReported(report("w1", born = born), now)
+        dispatchAll().renewals.forEach { reply(it, runsReply(born = born, clock = 0)) }
+        submit("a", step())
+        reply(dispatchAll().starts.single(), WorkerReply.Done(100))
+        changeLeader()
+        expectNoStartWhileSilent(settings.longestLeaseMillis)
     }
 
     /** Lets w1 be silent; its task must not start on w2 for [millis], but soon afterwards. */
     private fun expectNoStartWhileSilent(millis: Long) {
         addW2()
-        bed.reply(bed.lastRenewal("w1"), WorkerReply.NoResponse)
-        val silentSince = bed.now
-        while (bed.now - silentSince < millis) {
-            val calls = bed.dispatchAll(500)
+        reply(lastRenewal("w1"), WorkerReply.NoResponse)
+        val silentSince = now
+        while (now - silentSince < millis) {
+            val calls = dispatchAll(500)
             expectThat(calls.starts).isEmpty()
-            calls.forEach { bed.reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else bed.runsReply()) }
-            bed.dispatcher.workerReported(report("w2", clockMillis = bed.now, sequence = bed.now), bed.now)
+            calls.forEach { reply(it, if (it.worker.id == "w1") WorkerReply.NoResponse else runsReply()) }
+            dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
         }
-        expectThat(bed.dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
+        expectThat(dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
     }
 }
