--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCalls.kt
@@ -71,7 +71,7 @@
     /** The connection failed, so nothing was sent. */
     data object NotSent : WorkerReply
 
-    /** The worker's host refused the connection, so nothing was sent and no process accepts calls at the address. */
+    /** The connection was refused, so nothing was sent. A network partition may refuse connections to a living worker. */
     data object ConnectionRefused : WorkerReply
 
     /** No response arrived; the call may have been executed or may be executed later. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -173,6 +173,8 @@
     ) {
         if (call == worker.addressProbe) worker.addressProbe = null else worker.renewInFlight = false
         if (reply !is WorkerReply.Runs) {
+            // A worker that refuses a renewal has not extended its lease, so that it is waited for like a silent one.
+            if (reply is WorkerReply.Refused) recordUnansweredCall(worker)
             worker.renewDueAt =
                 now + if (reply == WorkerReply.NoResponse && worker.unansweredCalls <= 1) RESEND_MILLIS else settings.retryMillis
             return
--- a/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/InheritedLeaseSpec.kt
@@ -4,7 +4,9 @@
 import org.junit.jupiter.api.Test
 import rhubarbknot.flow.FlowFixture.report
 import rhubarbknot.flow.FlowFixture.step
+import rhubarbknot.flow.dispatch.RefusalReason
 import rhubarbknot.flow.dispatch.RunningRun
+import rhubarbknot.flow.dispatch.WorkerCall
 import rhubarbknot.flow.dispatch.WorkerReply
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -60,6 +62,26 @@
         expectThat(dispatchAll(1_000).starts.map { it.worker.id }).isEqualTo(listOf("w2"))
     }
 
+    // Each refused renewal counted as a longer lease, and the task of an unhealthy worker was never started again.
+    @Test
+    fun `are not extended by renewals that an unhealthy worker refuses`() {
+        registerWorkers("w1")
+        submit("a", step())
+        reply(dispatchAll().starts.single(), WorkerReply.Done(now))
+        changeLeader()
+        registerWorkers("w2")
+        val startedAt = now
+        var starts = emptyList<WorkerCall.Start>()
+        while (starts.isEmpty() && now - startedAt < 2 * settings.leaseMillis) {
+            dispatcher.workerReported(report("w1", clockMillis = now, sequence = now), now)
+            dispatcher.workerReported(report("w2", clockMillis = now, sequence = now), now)
+            val calls = dispatchAll(500)
+            calls.forEach { reply(it, if (it.worker.id == "w1") WorkerReply.Refused(RefusalReason.UNHEALTHY, now) else runsReply()) }
+            starts = calls.starts
+        }
+        expectThat(starts.map { it.worker.id }).isEqualTo(listOf("w2"))
+    }
+
     private companion object {
         const val REPORT_DELAY_MILLIS = 1_400L
     }
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/HttpClient.kt
@@ -43,7 +43,7 @@
         /** No connection could be established, so no request was sent. */
         data object NotSent : Outcome
 
-        /** The host refused the connection, so no request was sent and no process listens at the address. */
+        /** The connection was refused, by the host or on the way to it, so no request was sent. */
         data object ConnectionRefused : Outcome
     }
 
