--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/LeaseManager.kt
@@ -18,14 +18,16 @@
     }
 
     /**
-     * Records that [worker], whose clock shows [reading], has seen this leader's fencing token. Before, it may have executed calls to
-     * an earlier incarnation under its id: their deadlines are on another clock, so it may hold the longest lease.
+     * Records that [worker], whose clock shows [reading], has seen this leader's fencing token at [now]. Before, a young worker may
+     * have executed calls to an earlier incarnation under its id: their deadlines are on another clock, so it may hold the longest
+     * lease.
      */
-    fun fenced(
+    fun recordFencing(
         worker: WorkerRecord,
         reading: Long,
+        now: Long,
     ) {
-        worker.heldUntil = minOf(reading, settings.lateCallMillis) + settings.longestLeaseMillis
+        if (isYoung(worker, now)) worker.inheritedUntil = reading + settings.longestLeaseMillis
     }
 
     /** Whether every lease that any leader can have granted to the unresponsive [worker] has expired. */
@@ -37,7 +39,7 @@
         if (now - worker.knownSince <= onThisClock(longestInheritedLease(worker, now))) return false
         if (worker.fenced && worker.unansweredCalls == 0) return false
         // The worker may have executed a renewal although it has never answered one.
-        val deadline = maxOf(worker.grantedUntil, worker.heldUntil)
+        val deadline = maxOf(worker.grantedUntil, worker.inheritedUntil)
         if (deadline == Long.MIN_VALUE) return true
         return worker.clockAtLeast(now, settings.slowClockPerMille) > deadline + MARGIN_MILLIS
     }
@@ -46,10 +48,13 @@
     private fun longestInheritedLease(
         worker: WorkerRecord,
         now: Long,
-    ): Long {
-        val isYoung = !worker.fenced && now - worker.incarnation.born <= settings.lateCallMillis + settings.longestLeaseMillis
-        return if (isYoung) settings.longestLeaseMillis else settings.leaseMillis
-    }
+    ): Long = if (!worker.fenced && isYoung(worker, now)) settings.longestLeaseMillis else settings.leaseMillis
+
+    /** Whether a lease that a call to an earlier incarnation granted to [worker] may still last. */
+    private fun isYoung(
+        worker: WorkerRecord,
+        now: Long,
+    ): Boolean = now - worker.incarnation.born <= settings.lateCallMillis + settings.longestLeaseMillis
 
     /** Longest time on this host's clock that a lease of [leaseMillis] on a worker's clock takes, with a margin. */
     private fun onThisClock(leaseMillis: Long) = leaseMillis * PER_MILLE / (PER_MILLE - settings.slowClockPerMille) + MARGIN_MILLIS
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -32,7 +32,7 @@
     var fenced = false
 
     /** Until when calls to an earlier incarnation under the same id can have granted a lease to this one, on the worker's clock. */
-    var heldUntil = Long.MIN_VALUE
+    var inheritedUntil = Long.MIN_VALUE
 
     /** Whether this incarnation has ended and runs nothing any more. */
     var terminated = false
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -191,7 +191,7 @@
         // Other responses do not tell whether the worker has restarted under its id.
         worker.markSurvivedStarts(now - settings.startSurvivalMillis)
         if (!worker.fenced) {
-            workers.markFenced(worker, reply.clockMillis)
+            workers.markFenced(worker, reply.clockMillis, now)
             val counts = "running=${reply.running.size} ended=${reply.ended.size} tracked=${worker.runs.size}"
             effects.logEvent(DispatchEvent.WORKER_FENCED, worker.incarnation.toString(), "term=$term $counts listedBorn=${reply.born}")
         }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -190,13 +190,14 @@
             .filter { it.born > worker.incarnation.born }
             .maxByOrNull { it.born }
 
-    /** Records that [worker], whose clock shows [clockMillis], has seen this leader's fencing token. */
+    /** Records that [worker], whose clock shows [clockMillis], has seen this leader's fencing token at [now]. */
     fun markFenced(
         worker: WorkerRecord,
         clockMillis: Long,
+        now: Long,
     ) {
         worker.fenced = true
-        leases.fenced(worker, clockMillis)
+        leases.recordFencing(worker, clockMillis, now)
         changes++
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RestartedWorkerSpec.kt
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import rhubarbknot.flow.FlowFixture.end
 import rhubarbknot.flow.FlowFixture.report
 import rhubarbknot.flow.FlowFixture.step
@@ -95,11 +97,15 @@
     }
 
     // A renewal with a deadline on the clock of the earlier incarnation was executed by the next one, whose clock had started anew.
-    @Test
-    fun `may hold the longest lease that a worker grants, and is waited for as long`() {
+    @ParameterizedTest
+    @ValueSource(longs = [100, 482_113])
+    fun `may hold the longest lease that a worker grants, and is waited for as long`(clock: Long) {
         val start = startOnW1()
         reply(start, WorkerReply.Done(100))
-        reply(restart(), runsOfNext(listOf(RunningRun(start.run, ""))))
+        val born = now
+        dispatcher.workerReported(report("w1", born = born), now)
+        val renewal = dispatchAll(100).renewals.first { it.worker.born == born }
+        reply(renewal, runsReply(listOf(RunningRun(start.run, "")), born = born, clock = clock))
         expectNoStartWhileSilent(settings.longestLeaseMillis)
     }
 
