--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -130,18 +130,18 @@
         val hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd
         // The worker would immediately list ends again that are not committed yet.
         if (worker.fenced && worker.lastProposedEnd > worker.lastCommittedEnd) return
-        val isLeaveDue = worker.isLeaveDue(now, settings.departureMillis)
+        val mayHaveStayed = worker.unansweredCalls == 0 && worker.isLeaveDue(now, settings.departureMillis)
         if (worker.fenced &&
             !hasCommittedRuns &&
             !hasUnacknowledgedEnds &&
-            !isLeaveDue &&
+            !mayHaveStayed &&
             !worker.addressDoubted &&
             !mayBeReachable(worker, now)
         ) {
             return
         }
         worker.renewInFlight = true
-        val canWait = worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns && !isLeaveDue
+        val canWait = worker.fenced && worker.unansweredCalls == 0 && hasCommittedRuns && !mayHaveStayed
         val waitMillis = if (canWait) renewWaitMillis(worker) else 0
         val deadline = if (hasCommittedRuns) leases.grant(worker, now) else null
         val lastSeen = if (isConfirmedIncarnation(worker, now)) worker.lastCommittedEnd else 0
--- a/flow/src/test/kotlin/rhubarbknot/flow/LeaveMessageSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/LeaveMessageSpec.kt
@@ -110,6 +110,16 @@
         expectThat(state.runsOn(start.worker)[start.run.task]).isEqualTo(start.run.number)
     }
 
+    // Each worker that had left was called several times a second for 20 s.
+    @Test
+    fun `asks a worker without runs once whether it has left, and no longer when it is silent`() {
+        registerWorkers("w1")
+        dispatcher.workerLeft("w1", now)
+        val question = dispatchAll(departureMillis).filterIsInstance<WorkerCall.Renew>().single()
+        reply(question, WorkerReply.NotSent)
+        expectThat((1..10).flatMap { dispatchAll(settings.reportTimeoutMillis) }).isEmpty()
+    }
+
     @Test
     fun `grants a draining worker short leases, so that its runs are soon over after its end`() {
         val start = startOnW1(born = 2)
