--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -151,10 +151,17 @@
         )
     }
 
-    /** No other job may start a run on the worker until it has survived the start of a suspect, so the answer is wanted soon. */
+    /**
+     * No other job may start a run on the worker until it has survived the start of a suspect, so the answer is wanted soon. The short
+     * lease of a draining worker must outlast some lost calls.
+     */
     private fun renewWaitMillis(worker: WorkerRecord): Long {
         val isSuspectStarting = worker.starting.any { it.isSuspect }
-        return if (isSuspectStarting) minOf(settings.startSurvivalMillis, settings.renewWaitMillis) else settings.renewWaitMillis
+        return when {
+            isSuspectStarting -> minOf(settings.startSurvivalMillis, settings.renewWaitMillis)
+            worker.report?.draining == true -> minOf(settings.drainingLeaseMillis / DRAINING_RENEWALS, settings.renewWaitMillis)
+            else -> settings.renewWaitMillis
+        }
     }
 
     /**
@@ -173,6 +180,9 @@
     ): Boolean = worker.unansweredCalls > 0 && now - worker.reportedAt <= settings.reportTimeoutMillis
 
     private companion object {
+        /** Renewals that a draining worker gets at least during one lease. */
+        const val DRAINING_RENEWALS = 10
+
         /** Lower bound for the time that a worker takes to restart. */
         const val MIN_RESTART_MILLIS = 150L
     }
