--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -257,12 +257,20 @@
         }
     }
 
-    /** A report of a pool that is not configured comes from another writer: it says nothing about the worker whose id it names. */
+    /**
+     * Whether [report] names a pool that is neither configured nor the known one of the worker with its id: then it was not sent by
+     * that worker and says nothing about it.
+     */
+    private fun isForeign(report: WorkerReport): Boolean {
+        val configuration = state.configuration ?: return false
+        return configuration.pool(report.pool) == null && workerReports.poolOf(report.life.id) != report.pool
+    }
+
     private fun reportReceived(
         report: WorkerReport,
         now: Long,
     ) {
-        if (state.configuration?.pools?.none { it.name == report.pool } == true) return
+        if (isForeign(report)) return
         if (workerReports.add(report, now)) dispatcher?.workerReported(report, now)
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/WorkerReportCache.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/WorkerReportCache.kt
@@ -35,6 +35,9 @@
         return true
     }
 
+    /** The pool in the latest report of the worker called [id]; null without a report. */
+    fun poolOf(id: String): String? = latest[id]?.report?.pool
+
     /** Queues [report], which a worker sent to this node, for the other control nodes. */
     fun queueForward(report: WorkerReport) {
         toForward[report.life] = report
