--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/DispatchSettings.kt
@@ -13,7 +13,7 @@
  * @property slowClockPerMille maximum rate by which a worker's clock may run slower than this host's clock.
  * @property reportTimeoutMillis time without a report after which nothing is started on a worker.
  * @property forgetMillis time without a report after which the record of an idle worker is removed.
- * @property departureMillis time after a worker's leave message until it no longer answers calls.
+ * @property departureMillis time after a leave message from which on a worker that answers counts as one that stays.
  * @property lateCallMillis how long after its sending a call without a response may still be executed.
  * @property stopMillis maximum time that a worker takes to stop a run.
  * @property distrustMillis how long a worker whose runs fail gets no new runs.
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunBeliefs.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunBeliefs.kt
@@ -51,7 +51,9 @@
             now: Long,
         ): String {
             val clock = worker.clockAtLeast(now, slowPerMille = 0)
-            val bounds = "lease=${timeOrNone(worker.grantedUntil)} clock=${timeOrNone(clock)}"
+            val bounds = "lease=${timeOrNone(
+                worker.grantedUntil,
+            )} clock=${timeOrNone(clock)} inherited=${timeOrNone(worker.inheritedUntil)}"
             return "$bounds fenced=${worker.fenced} known=${ageOf(worker.knownSince, now)} unanswered=${worker.unansweredCalls}"
         }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -102,7 +102,7 @@
         }
     }
 
-    /** Whether the worker must have ended by [now] if its leave message came from this incarnation. */
+    /** Whether a worker that still lists its runs at [now] did not send the leave message, or has not ended after all. */
     fun isLeaveDue(
         now: Long,
         departureMillis: Long,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerTracker.kt
@@ -19,8 +19,8 @@
     private val byAddress = HashMap<String, LinkedHashSet<WorkerRecord>>()
     private val touched = LinkedHashSet<WorkerRecord>()
 
-    /** Number of records added so far. */
-    private var records = 0
+    /** Serial number of the latest record, for its fencing token. */
+    private var lastSerial = 0
 
     /** Incremented whenever a worker appears or becomes able or unable to get runs. */
     var changes = 0L
@@ -52,7 +52,7 @@
         now: Long = startedAt,
     ): WorkerRecord =
         byIncarnation.getOrPut(incarnation) {
-            WorkerRecord(incarnation, maxOf(now, startedAt), FencingToken.of(term, ++records)).also {
+            WorkerRecord(incarnation, maxOf(now, startedAt), FencingToken.of(term, ++lastSerial)).also {
                 byId.getOrPut(incarnation.id) { LinkedHashSet() }.add(it)
             }
         }
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Asks at the address of [worker], which a later worker has reported as its own, who is there: the report may come from another
-     * writer. Until the answer, [worker] gets no more runs.
+     * Asks at the address of [worker], which a later worker has reported as its own, who is there: it may not be that worker.
+     * Until the answer, [worker] gets no more runs.
      */
     private fun verifyAddress(worker: WorkerRecord) {
         val address = worker.report?.address
