Simulation: switchable faults between control nodes and workers

The simulated clusters left out much that workers and their links may do: cuts that hang or refuse connections, workers that leave and live on, answers lost, calls executed seconds later (also renewals, also by the next incarnation), crashes behind a cut, a leader that sends after a pause what it had decided before, a clock that stands still, power lost everywhere at once. The oracle keeps all runs of a task that are active, so that a duplicate does not hide the end of the other run. A trace now shows the events of one task and of its workers, and what the workers did.

--- /dev/null
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/ClusterSimulation.kt
@@ -0,0 +1,77 @@
+package rhubarbknot.flow.world
+
+import rhubarbknot.core.model.Resources
+import rhubarbknot.flow.dispatch.DispatchSettings
+
+/** Plays one [SimulatedCluster] under traffic and random faults, and collects the violated invariants. */
+internal class ClusterSimulation(
+    seed: Long,
+    private val submitIntervalMillis: Long,
+    private val crashingJobPeriod: Int = 0,
+    options: FaultOptions = FaultOptions(),
+    workerCount: Int = 4,
+    ceiling: Resources = CEILING,
+) {
+    private val dispatch =
+        if (crashingJobPeriod > 0) DispatchSettings(reportTimeoutMillis = REPORT_TIMEOUT_MILLIS) else DispatchSettings()
+    private val cluster = SimulatedCluster(seed, ceiling, dispatch, options = options, workerCount = workerCount)
+    private val callers = SimulatedCallers(cluster, ceiling, crashingJobPeriod)
+    val violations get() = cluster.oracle.violations + callers.violations
+    val startCount get() = cluster.oracle.starts
+    val failedSoundJobs get() = callers.failedSoundJobs
+    val acceptedCount get() = callers.accepted.size
+
+    fun play() {
+        callers.configure()
+        cluster.advance(STARTUP_MILLIS)
+        cluster.every(submitIntervalMillis) { if (cluster.now < TRAFFIC_END_MILLIS) callers.submit() }
+        cluster.every(CONFIGURE_INTERVAL_MILLIS) { if (cluster.now < TRAFFIC_END_MILLIS) callers.configure() }
+        cluster.every(QUERY_INTERVAL_MILLIS) { callers.queryJobs() }
+        val faults = FaultInjector(cluster, changesWorkers = crashingJobPeriod > 0)
+        while (cluster.now < TRAFFIC_END_MILLIS) {
+            faults.injectFault()
+            cluster.advance(cluster.random.nextLong(MAX_FAULT_INTERVAL_MILLIS))
+        }
+        faults.stop()
+        cluster.advance(RECOVERY_MILLIS)
+        callers.checkFinalState()
+        cluster.advance(LAST_ANSWERS_MILLIS)
+    }
+
+    /** Prints the violations and the logged events of the task of the last one, of its workers and of leaders. */
+    fun printTrace() {
+        println(violations.take(MAX_PRINTED_VIOLATIONS).joinToString("\n"))
+        traceOf(violations.last()).forEach { println(it) }
+    }
+
+    /** The logged events of the task that [violation] names, of its workers and of leaders. */
+    fun traceOf(violation: String): List<String> {
+        val task = Regex("job-\\d+(\\.\\d+)*").find(violation)?.value ?: "no job"
+        val ofTask = Regex("\\b$task\\b|\\b${task.substringBeforeLast('.')} ")
+        val workers = cluster.eventLog.filter { "worker STARTED" in it && ofTask.containsMatchIn(it) }.map { it.substringAfterLast(' ') }
+        val ofWorkers = Regex("\\b(${workers.distinct().joinToString("|")})\\b")
+        return cluster.eventLog.filter { line ->
+            ofTask.containsMatchIn(line) ||
+                "LEADING" in line ||
+                (ofWorkers.containsMatchIn(line) && WORKER_EVENTS.any { it in line })
+        }
+    }
+
+    private companion object {
+        const val MAX_PRINTED_VIOLATIONS = 20
+        val WORKER_EVENTS = listOf(" WORKER_", " LEASE_", " LEAVE_", " FENCED", " LATE_CALL", " CRASH", " LEAVES", " ENDS")
+        val CEILING = Resources(milliCpus = 12_000, memoryMb = 1_000_000, accelerators = 10, slots = 10)
+        const val STARTUP_MILLIS = 2_000L
+
+        /** Simulated time starts at 1,000,000 ms. */
+        const val TRAFFIC_END_MILLIS = 1_025_000L
+
+        /** Shorter than the time for which the workers of the simulation respect an earlier room. */
+        const val REPORT_TIMEOUT_MILLIS = 3_000L
+        const val CONFIGURE_INTERVAL_MILLIS = 2_500L
+        const val QUERY_INTERVAL_MILLIS = 1_000L
+        const val MAX_FAULT_INTERVAL_MILLIS = 2_500L
+        const val RECOVERY_MILLIS = 45_000L
+        const val LAST_ANSWERS_MILLIS = 3_000L
+    }
+}
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/FaultInjector.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/FaultInjector.kt
@@ -9,9 +9,12 @@
     private val changesWorkers: Boolean,
 ) {
     private val random = cluster.random
-    private var lastWipeAt = 0L
+
+    private val optionalFaults = OptionalFaults(cluster)
 
     fun injectFault() {
+        optionalFaults.inject()
+        if (!cluster.options.usualFaults) return
         val control = cluster.controls[random.nextInt(cluster.controls.size)]
         val durationMillis = random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS)
         when (random.nextInt(if (changesWorkers) FAULT_KINDS + 1 else FAULT_KINDS)) {
@@ -63,8 +66,7 @@
         control: SimulatedNode,
         durationMillis: Long,
     ) {
-        if (cluster.now - lastWipeAt < MIN_WIPE_INTERVAL_MILLIS || cluster.controls.any { it.process == null }) return
-        lastWipeAt = cluster.now
+        if (cluster.now - cluster.lastWipeAt < MIN_WIPE_INTERVAL_MILLIS || cluster.controls.any { it.process == null }) return
         cluster.wipe(control)
         cluster.after(durationMillis) { cluster.start(control) }
     }
@@ -90,6 +92,7 @@
     fun stop() {
         cluster.healPartitions()
         cluster.lostCallsPercent = 0
+        optionalFaults.stop()
         cluster.workers.forEach { it.failsAllRuns = false }
         cluster.nodes.forEach { cluster.start(it) }
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
@@ -6,13 +6,19 @@
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.model.TaskId
 
-/** Checks the invariants of runs as observed by the workers, which alone know what actually ran. */
+/**
+ * Checks the invariants of runs as observed by the workers, which alone know what actually ran.
+ *
+ * A start is a duplicate while another run of its task is active on a worker that is up, and after a run that ended as done if that
+ * end was acknowledged or will be. An end whose worker has crashed or let its lease expire before the acknowledgement never counts.
+ * Neither condition has a time bound, so both hold for starts that a worker executes late as well.
+ */
 internal class Oracle(
     private val ceiling: Resources,
+    private val log: (String) -> Unit = {},
 ) {
     private val requests = HashMap<String, JobRequest>()
-    private val running = HashMap<TaskId, RunId>()
-    private val workerOf = HashMap<TaskId, String>()
+    private val running = HashMap<TaskId, ArrayList<ActiveRun>>()
     private val done = HashSet<TaskId>()
     private val doneEnds = HashMap<TaskId, ArrayList<DoneEnd>>()
     private var used = Resources.NONE
@@ -55,6 +61,7 @@
         capacity: Resources,
     ) {
         startCount++
+        log("STARTED $run on $worker")
         val task = run.task
         val request = requests[task.job]
         if (request == null) {
@@ -62,9 +69,10 @@
             return
         }
         val spec = request.steps[task.step]
-        workerOf[task]?.let { violations += "$now DUPLICATE $run on $worker while ${running[task]} runs on $it" }
+        running[task].orEmpty().forEach { violations += "$now DUPLICATE $run on $worker while ${it.run} runs on ${it.worker}" }
         doneEnds[completionKey(task)]?.filter { !it.isExempt }?.forEach { end ->
-            if (end.isAcknowledged) violations += "$now DUPLICATE $run after ${end.run} was done" else end.laterStarts += "$now $run"
+            val start = "$run on $worker"
+            if (end.isAcknowledged) violations += "$now DUPLICATE $start after ${end.run} was done" else end.laterStarts += "$now $start"
         }
         spec.after.filterNot { isStepDone(request, it) }.forEach { violations += "$now ORDER $run before step $it was done" }
         if (crashesWorkers(task) && (crashesUnder[task] ?: 0) >= MAX_FREE_CRASHES) {
@@ -80,8 +88,7 @@
         if (!usedOn.getValue(worker).fitsIn(capacity)) violations += "$now LIMIT $run on $worker"
         // The ceiling may be exceeded by one task.
         if (!(used - spec.demand).fitsIn(ceiling)) violations += "$now QUOTA $run"
-        running[task] = run
-        workerOf[task] = worker
+        running.getOrPut(task) { ArrayList() } += ActiveRun(run, worker)
     }
 
     fun runEnded(
@@ -89,9 +96,10 @@
         worker: String,
         ending: RunOutcome,
     ) {
-        if (running[run.task] != run || workerOf[run.task] != worker) return
-        running.remove(run.task)
-        workerOf.remove(run.task)
+        val active = running[run.task] ?: return
+        if (!active.remove(ActiveRun(run, worker))) return
+        log("ENDED $run on $worker as $ending")
+        if (active.isEmpty()) running.remove(run.task)
         val request = requests.getValue(run.task.job)
         val spec = request.steps[run.task.step]
         used -= spec.demand
@@ -104,6 +112,7 @@
     /** Records that the end of [run] as done was acknowledged: the task must not have started again since that end. */
     fun acknowledged(run: RunId) {
         doneEnds[completionKey(run.task)]?.filter { it.run == run && !it.isExempt }?.forEach { end ->
+            if (!end.isAcknowledged) log("ACKNOWLEDGED $run")
             end.isAcknowledged = true
             end.laterStarts.forEach { violations += "DUPLICATE $it after $run was done, which was acknowledged later" }
         }
@@ -123,6 +132,11 @@
         return if (isGang) task.copy(index = 0) else task
     }
 
+    private data class ActiveRun(
+        val run: RunId,
+        val worker: String,
+    )
+
     private class DoneEnd(
         val run: RunId,
     ) {
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCluster.kt
@@ -32,6 +32,12 @@
     /** Increases with each start, so that events for an earlier process are not delivered to a later one. */
     var incarnation = 0
     var frozenUntil = 0L
+
+    /** How long the process is paused when it next has a call to send; 0 for not at all. */
+    var pauseAtNextCallMillis = 0L
+
+    /** Time that the clock of the process has not counted. */
+    var clockLagMillis = 0L
     var targets = emptySet<String>()
     val links = LinkedHashSet<String>()
 }
@@ -45,6 +51,8 @@
     ceiling: Resources,
     private val dispatch: DispatchSettings = DispatchSettings(),
     private val voterCount: Int = 3,
+    val options: FaultOptions = FaultOptions(),
+    workerCount: Int = 4,
 ) {
     private class ScheduledAction(
         val at: Long,
@@ -53,7 +61,10 @@
     )
 
     val random = SplittableRandom(seed)
-    val oracle = Oracle(ceiling)
+
+    /** Draws for the [options], so that those of the other faults do not depend on them. */
+    val optionRandom = SplittableRandom(seed.inv())
+    val oracle = Oracle(ceiling) { logEvent("worker $it") }
     private val founders = (1..voterCount).map { SimulatedNode("10.0.0.$it:1", isControl = true) }
 
     /** The control nodes that were never removed. */
@@ -64,12 +75,20 @@
     var now = START_MILLIS
         private set
     private val gangs = GangTracker()
-    val workers = (1..4).map { SimulatedWorker("w$it", oracle, gangs, random.split(), now) }
+
+    /** The workers that have not left. */
+    val workers = (1..workerCount).mapTo(ArrayList()) { SimulatedWorker("w$it", oracle, gangs, random.split(), now) }
+    private var lastWorkerNumber = workerCount
     private val queue = PriorityQueue(compareBy<ScheduledAction>({ it.at }, { it.order }))
     private var order = 0L
     private val blocked = HashSet<Pair<String, String>>()
     private val pendingRequests = HashMap<Triple<String, Int, Long>, (FlowAnswer?) -> Unit>()
     private var lastRequestNumber = 0L
+    val network = WorkerNetwork(this)
+
+    /** When a disk was last emptied. */
+    var lastWipeAt = 0L
+        private set
 
     /** Percentage of calls to workers that get no answer and are executed late or not at all. */
     var lostCallsPercent = 0
@@ -86,11 +105,22 @@
                 if (now >= it.crashAt) restart(it, random.nextLong(500, 4_000), changesId = random.nextBoolean())
             }
         }
-        workers.forEach { worker ->
-            every(
-                REPORT_MILLIS,
-            ) { if (!worker.isDown) ask(controls[random.nextInt(controls.size)], FlowRequest.Report(worker.report(now))) {} }
-        }
+        workers.forEach { worker -> after(REPORT_MILLIS) { startReporting(worker) } }
+    }
+
+    private fun startReporting(worker: SimulatedWorker) {
+        if (worker.hasLeft) return
+        if (!worker.isDown) network.report(worker, controls[random.nextInt(controls.size)])
+        after(REPORT_MILLIS) { startReporting(worker) }
+    }
+
+    /** Adds a worker with a new id at [address], or at a new address if that is null. */
+    fun addWorker(address: String? = null): SimulatedWorker {
+        val name = "w${++lastWorkerNumber}"
+        val worker = SimulatedWorker(name, oracle, gangs, optionRandom.split(), now, address ?: "10.9.0.1:$name")
+        workers += worker
+        startReporting(worker)
+        return worker
     }
 
     fun after(
@@ -130,6 +160,8 @@
         if (node.process != null) return
         node.incarnation++
         node.targets = emptySet()
+        node.clockLagMillis = 0
+        node.pauseAtNextCallMillis = 0
         val initialMembers = founders.map { MembershipManager.replicaIdFor(it.address, "0") }.toSet()
         if (node.isControl) {
             if (isFirst) node.identity = node.identity.copy(replica = MembershipManager.replicaIdFor(node.address, "0").name)
@@ -166,6 +198,7 @@
     /** Kills the process and empties the disk, so that [node] restarts as a new replica. */
     fun wipe(node: SimulatedNode) {
         kill(node, losesPower = true)
+        lastWipeAt = now
         node.disk = SimulatedDisk()
         node.identity = node.identity.copy(replica = MembershipManager.replicaIdFor(node.address, now.toString()).name)
     }
@@ -197,8 +230,12 @@
         millis: Long,
     ) {
         node.frozenUntil = now + millis
+        if (options.suspensions) node.clockLagMillis += millis
     }
 
+    /** The reading of the clock of [node]. */
+    private fun clockOf(node: SimulatedNode): Long = now - node.clockLagMillis
+
     private fun tick(
         node: SimulatedNode,
         incarnation: Int,
@@ -218,13 +255,21 @@
             after(node.frozenUntil - now) { if (node.incarnation == incarnation) deliver(node, event) }
             return
         }
-        process.handle(listOf(event), now).forEach { execute(node, it) }
+        process.handle(listOf(event), clockOf(node)).forEach { execute(node, it) }
     }
 
     private fun execute(
         node: SimulatedNode,
         effect: NodeEffect,
     ) {
+        if (node.pauseAtNextCallMillis > 0 && effect is NodeEffect.CallWorker) {
+            freeze(node, node.pauseAtNextCallMillis)
+            node.pauseAtNextCallMillis = 0
+        }
+        if (now < node.frozenUntil) {
+            afterIfRunning(node, node.frozenUntil - now) { execute(node, effect) }
+            return
+        }
         when (effect) {
             is NodeEffect.Send -> send(node, effect)
             is NodeEffect.Connect -> node.targets = effect.addresses
@@ -237,14 +282,23 @@
                 val reply = EligibilityReply(effect.number, effect.workers.filter { it != ineligible }.associateWith { "ticket" })
                 afterIfRunning(node, random.nextLong(5, 30)) { deliver(node, NodeEvent.EligibilityReplied(effect.askedBy, reply)) }
             }
-            is NodeEffect.LogEvent -> {
-                eventLog.addLast("$now ${node.address} ${effect.entry.event} ${effect.entry.subject} ${effect.entry.detail}")
-                if (eventLog.size > MAX_LOG_ENTRIES) eventLog.removeFirst()
-            }
+            is NodeEffect.LogEvent -> logEvent("${node.address} ${effect.entry.event} ${effect.entry.subject} ${effect.entry.detail}")
             NodeEffect.ShutdownComplete -> after(0) { kill(node, losesPower = false) }
         }
     }
 
+    private fun logEvent(text: String) {
+        eventLog.addLast("$now $text")
+        if (eventLog.size > MAX_LOG_ENTRIES) eventLog.removeFirst()
+    }
+
+    /** Logs what [worker] does, which no control node knows. */
+    fun logWorkerEvent(
+        event: String,
+        worker: SimulatedWorker,
+        detail: String,
+    ) = logEvent("worker $event ${worker.id} ${worker.address} born=${worker.bornAt} clock=${worker.clock(now)} $detail")
+
     private fun afterIfRunning(
         node: SimulatedNode,
         millis: Long,
@@ -350,8 +404,7 @@
         call: WorkerCall,
         timeoutMillis: Long,
     ) {
-        val sentAt = now
-        val worker = workers.first { it.address == call.address }
+        val sentAt = clockOf(node)
         var answered = false
         val reply = { answer: WorkerReply ->
             if (!answered) {
@@ -360,25 +413,39 @@
             }
         }
         afterIfRunning(node, timeoutMillis) { reply(WorkerReply.NoResponse) }
+        val worker = workerAt(call.address)
         if (random.nextInt(100) < lostCallsPercent) {
             // The call gets no answer, but the worker may still execute it, long after newer calls.
-            val bornAt = worker.bornAt
+            val bornAt = worker?.bornAt
             if (random.nextBoolean()) {
                 after(random.nextLong(2_000, 9_000)) {
                     if (call !is WorkerCall.Renew &&
-                        worker.bornAt == bornAt
+                        worker?.bornAt == bornAt
                     ) {
-                        worker.handle(call, now, isLate = true)
+                        worker?.handle(call, now, isLate = true)
                     }
                 }
             }
             return
         }
-        if (worker.isDown) {
-            reply(WorkerReply.NotSent)
+        if (network.intercepts(node, call, worker, reply)) return
+        if (worker == null || worker.isDown) {
+            reply(if (worker == null) WorkerReply.ConnectionRefused else WorkerReply.NotSent)
             return
         }
-        after(1) { serve(worker, worker.bornAt, call, now + ((call as? WorkerCall.Renew)?.waitMillis ?: 0), reply) }
+        after(1) { serve(node, worker, worker.bornAt, call, now + ((call as? WorkerCall.Renew)?.waitMillis ?: 0), reply) }
+    }
+
+    /** The worker at [address], which may be down; null if it has left and none has taken its place. */
+    fun workerAt(address: String): SimulatedWorker? = workers.firstOrNull { it.address == address }
+
+    /** Ends [worker] for good. */
+    fun endWorker(worker: SimulatedWorker) {
+        if (worker.hasLeft) return
+        worker.restart(now)
+        worker.isDown = true
+        worker.hasLeft = true
+        workers.remove(worker)
     }
 
     /** Ends the process of [worker] and starts a new incarnation after [millis], with another id if [changesId]. */
@@ -391,12 +458,14 @@
         worker.restart(now)
         worker.isDown = true
         after(millis) {
+            if (worker.hasLeft) return@after
             worker.restart(now, changesId)
             worker.isDown = false
         }
     }
 
     private fun serve(
+        node: SimulatedNode,
         worker: SimulatedWorker,
         bornAt: Long,
         call: WorkerCall,
@@ -408,11 +477,12 @@
             reply(WorkerReply.NoResponse)
             return
         }
+        if (network.isCut(node, worker)) return
         val first = worker.handle(call, now)
         if (call !is WorkerCall.Renew || first !is WorkerReply.Runs || now >= until || worker.hasEndsAfter(call.lastSeen)) {
-            reply(first)
+            if (!network.losesAnswer()) reply(first)
         } else {
-            after(WORKER_TICK_MILLIS) { serve(worker, bornAt, call, until, reply) }
+            after(WORKER_TICK_MILLIS) { serve(node, worker, bornAt, call, until, reply) }
         }
     }
 
@@ -424,6 +494,6 @@
         const val REPORT_MILLIS = 700L
         const val LINK_TIMEOUT_MILLIS = 1_500L
         const val SNAPSHOT_EVERY = 200L
-        const val MAX_LOG_ENTRIES = 60_000
+        const val MAX_LOG_ENTRIES = 120_000
     }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
@@ -24,6 +24,7 @@
     private val gangs: GangTracker,
     private val random: SplittableRandom,
     var bornAt: Long,
+    val address: String = "10.9.0.1:$name",
 ) {
     private class Running(
         val run: RunId,
@@ -48,7 +49,6 @@
     /** Changes with an incarnation that has another id. */
     var id = name
         private set
-    val address get() = "10.9.0.1:$name"
 
     /** When the process crashes because of a task that it has started. */
     var crashAt = Long.MAX_VALUE
@@ -57,6 +57,12 @@
     /** Whether the process is down. */
     var isDown = false
 
+    /** Whether the worker announces its end. */
+    var isDraining = false
+
+    /** Whether the process has ended for good. */
+    var hasLeft = false
+
     /** Whether every run on this worker fails. */
     var failsAllRuns = false
 
@@ -64,9 +70,10 @@
     var stalledUntil = 0L
     val incarnation: WorkerIncarnation get() = WorkerIncarnation(id, bornAt)
 
-    private fun clock(now: Long): Long = ((now - bornAt) * clockRate).toLong()
+    /** Reading of the worker's clock at [now]. */
+    fun clock(now: Long): Long = ((now - bornAt) * clockRate).toLong()
 
-    fun report(now: Long) = WorkerReport(incarnation, "pool", address, "z1", false, room, emptyList(), "r1", clock(now), ++sequence)
+    fun report(now: Long) = WorkerReport(incarnation, "pool", address, "z1", isDraining, room, emptyList(), "r1", clock(now), ++sequence)
 
     private val room: Resources get() = rooms.lastOrNull()?.second ?: CAPACITY
 
@@ -106,6 +113,7 @@
         highestFencingToken = 0
         leaseDeadline = 0
         sequence = 0
+        isDraining = false
         bornAt = now
     }
 
