--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedWorker.kt
@@ -70,6 +70,9 @@
     var stalledUntil = 0L
     val incarnation: WorkerIncarnation get() = WorkerIncarnation(id, bornAt)
 
+    /** The ticket for any step; it is valid for this incarnation only. */
+    val ticket: String get() = "ticket-$bornAt"
+
     /** Reading of the worker's clock at [now]. */
     fun clock(now: Long): Long = ((now - bornAt) * clockRate).toLong()
 
@@ -185,6 +188,7 @@
         leaseDeadline = maxOf(leaseDeadline, minOf(call.deadlineMillis, clock(now) + MAX_LEASE_MILLIS))
         if (running[task]?.run == call.run) return WorkerReply.Done(clock(now))
         if (call.run.number <= (highestRuns[task] ?: 0) || task in running) return WorkerReply.Refused(RefusalReason.OLD_RUN, clock(now))
+        if (call.ticket.isNotEmpty() && call.ticket != ticket) return WorkerReply.Refused(RefusalReason.TICKET, clock(now))
         val gang = oracle.gangSize(task)
         if (gang > 0) gangs.memberStarted(call.run, gang, now)
         running[task] = Running(call.run, now, random.nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS), gang > 0)
