--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -47,7 +47,7 @@
                     run.stopSentAt = now
                     effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, run.run), settings.callTimeoutMillis)
                 }
-                run.stage == RunStage.STARTING && !run.stopWanted -> sendStart(run, worker, address, now)
+                run.stage == RunStage.STARTING && !run.stopWanted && mayRepeatStart(run, worker) -> sendStart(run, worker, address, now)
             }
         }
     }
@@ -63,6 +63,15 @@
         effects.logEvent(DispatchEvent.RUN_STOP_WANTED, run.run.task.toString(), detail)
     }
 
+    /**
+     * Whether a copy of the start of [run] may be sent. If the silent [worker] has restarted, its next incarnation would execute the
+     * copy unless it carries a ticket, which is valid for one incarnation.
+     */
+    private fun mayRepeatStart(
+        run: RunRecord,
+        worker: WorkerRecord,
+    ): Boolean = run.ticket != null || !run.startUncertain || worker.unansweredCalls <= MAX_UNANSWERED_BEFORE_REPEAT
+
     private fun sendStart(
         run: RunRecord,
         worker: WorkerRecord,
@@ -180,6 +189,9 @@
     ): Boolean = worker.unansweredCalls > 0 && now - worker.reportedAt <= settings.reportTimeoutMillis
 
     private companion object {
+        /** Unanswered calls after which a start without a ticket is repeated only once the worker has answered another call. */
+        const val MAX_UNANSWERED_BEFORE_REPEAT = 2
+
         /** Renewals that a draining worker gets at least during one lease. */
         const val DRAINING_RENEWALS = 10
 
