--- a/flow/src/test/kotlin/rhubarbknot/flow/world/HostReplacementSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/HostReplacementSpec.kt
@@ -7,6 +7,7 @@
 import rhubarbknot.flow.node.ControlNode
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import java.util.Objects
 import java.util.SplittableRandom
 
 /**
@@ -27,7 +28,10 @@
         val removed: Int,
         val wiped: Int,
         val wipedAfterMillis: Long,
-    )
+    ) {
+        /** The same in every process, unlike the hash code of a value with an enum. */
+        val seed: Long get() = Objects.hash(voterCount, removal.name, removed, wiped, wipedAfterMillis) + SEED
+    }
 
     private fun cases(
         voterCount: Int,
@@ -43,7 +47,7 @@
 
     /** Plays [case] and returns what is wrong at its end; null when all holds. */
     private fun failureOf(case: Case): String? {
-        val random = SplittableRandom(case.hashCode().toLong())
+        val random = SplittableRandom(case.seed)
         val cluster = SimulatedCluster(random.nextLong(), CEILING, voterCount = case.voterCount)
         val callers = SimulatedCallers(cluster, CEILING, crashingJobPeriod = 0)
         val founders = cluster.controls.toList()
@@ -115,6 +119,8 @@
     }
 
     private companion object {
+        /** Other values play other clusters. */
+        val SEED = System.getProperty("replacement.seed")?.toLong() ?: 0L
         val CEILING = Resources(milliCpus = 12_000, memoryMb = 1_000_000, accelerators = 10, slots = 10)
 
         /** The deployment may lose another host this long after the replacement of a lost one has started. */
