--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -47,7 +47,8 @@
                     run.stopSentAt = now
                     effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, run.run), settings.callTimeoutMillis)
                 }
-                run.stage == RunStage.STARTING && !run.stopWanted && mayRepeatStart(run, worker) -> sendStart(run, worker, address, now)
+                run.stage == RunStage.STARTING && !run.stopWanted && mayRepeatStart(run, worker, now) ->
+                    sendStart(run, worker, address, now)
             }
         }
     }
@@ -70,7 +71,11 @@
     private fun mayRepeatStart(
         run: RunRecord,
         worker: WorkerRecord,
-    ): Boolean = run.ticket != null || !run.startUncertain || worker.unansweredCalls <= MAX_UNANSWERED_BEFORE_REPEAT
+        now: Long,
+    ): Boolean {
+        val isSilent = worker.unansweredCalls > 0 && now - maxOf(worker.answeredAt, worker.reportedAt) > MAX_SILENCE_MILLIS
+        return run.ticket != null || !run.startUncertain || !isSilent
+    }
 
     private fun sendStart(
         run: RunRecord,
@@ -189,8 +194,8 @@
     ): Boolean = worker.unansweredCalls > 0 && now - worker.reportedAt <= settings.reportTimeoutMillis
 
     private companion object {
-        /** Unanswered calls after which a start without a ticket is repeated only once the worker has answered another call. */
-        const val MAX_UNANSWERED_BEFORE_REPEAT = 2
+        /** Time without an answer or a report after which a start without a ticket is repeated only once the worker shows itself. */
+        const val MAX_SILENCE_MILLIS = 1_000L
 
         /** Renewals that a draining worker gets at least during one lease. */
         const val DRAINING_RENEWALS = 10
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -68,6 +68,9 @@
 
     /** Number of calls without a response since the last response. */
     var unansweredCalls = 0
+
+    /** When the worker last answered a call. */
+    var answeredAt = knownSince
     private var clockReading = Long.MIN_VALUE
     private var clockReadAt = 0L
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -58,6 +58,7 @@
             effects.logEvent(DispatchEvent.WORKER_REGAINED, worker.incarnation.toString())
         }
         worker.unansweredCalls = 0
+        worker.answeredAt = now
         val refusal = (reply as? WorkerReply.Refused)?.reason
         if (refusal == RefusalReason.OTHER_LIFE) {
             workers.markTerminated(worker, now, "another incarnation answers at its address")
