Review case 6: three large jobs of 6,000 steps, in place of one of 8,000

Cause: one job of 8,000 steps keeps a leader only a little longer than its lease here, which a faster machine might not show.

--- a/review/standins-2/LargeGraph.java
+++ b/review/standins-2/LargeGraph.java
@@ -3,16 +3,18 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One large job comes: many steps, each after some of the first ones, within the size that the configuration allows for a body.
+ * Three large jobs come at once: many steps, each after some of the first ones, within the size that the configuration allows for a body.
  * Ordinary jobs are handed in before and after it, and asked for.
  */
 final class LargeGraph {
     private static final int MAX_BODY = 262_144;
     private static final long FINISH_MILLIS = 14_000;
     private static final long WINDOW_MILLIS = 25_000;
-    private static final int STEPS = 8_000;
+    private static final int LARGE_JOBS = 3;
+    private static final int STEPS = 6_000;
     private static final String HOST = "board.example";
     private static final String KEY = "key-of-the-crews";
     private static final String CALLS = "/calls/";
@@ -58,13 +60,21 @@
         List<String> accepted = new ArrayList<>();
         for (int i = 0; i < 5; i++) submitOrdinary(drill, accepted, i);
         if (accepted.isEmpty()) drill.finish(record, 2, "could not run: no job is accepted");
-        int large = 0;
+        AtomicInteger refused = new AtomicInteger();
         if (trouble) {
             String job = graph();
-            drill.record("the large job has " + STEPS + " steps of one task and " + job.length() + " bytes");
-            large = drill.submit("00bb87a21d940000", HOST, SORTING, KEY, job);
+            drill.record("each large job has " + STEPS + " steps of one task and " + job.length() + " bytes");
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < LARGE_JOBS; i++) {
+                String id = String.format("00bb87a21d94%04x", i);
+                clients.add(Drill.daemon(() -> {
+                    if (drill.submit(id, HOST, SORTING, KEY, job) / 100 == 4) refused.incrementAndGet();
+                }));
+            }
+            clients.forEach(Thread::start);
+            for (Thread client : clients) client.join();
+            if (refused.get() == LARGE_JOBS) drill.finish(record, 0, "LOST held: the large jobs were refused");
         }
-        if (trouble && large / 100 == 4) drill.finish(record, 0, "LOST held: the large job was refused");
         for (int i = 5; i < 8; i++) {
             submitOrdinary(drill, accepted, i);
             Drill.sleep(500);
