Pending count: jobs that have started are recorded in the replicated state

Callers saw 0 pending jobs for 10 s though ten accepted jobs had not begun. Which jobs have started stood nowhere in the replicated state, and a new leader took every inherited run for a started one. Change: Job.started, set by FlowCommand.Ended with the ends of a worker or at most 500 ms after a confirmed start; FlowState.pending counts the unfinished jobs without it. The leader's scan of all live jobs at each read is gone. The simulation reads the count each second and compares it with the workers' truth.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -37,10 +37,7 @@
                 command.ends.forEach { handleRunEnd(it, now) }
                 command.worker?.let { acknowledgeEnds(it, command.upTo, now) }
             }
-            is FlowCommand.Cancel -> {
-                runs.stopJobRuns(command.job)
-                runs.forgetStarted(command.job)
-            }
+            is FlowCommand.Cancel -> runs.stopJobRuns(command.job)
             else -> Unit
         }
     }
@@ -123,7 +120,6 @@
     ) {
         logJobFinished(job, cause)
         runs.stopJobRuns(job.id)
-        runs.forgetStarted(job.id)
         failures.removeJob(job.id)
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -37,6 +37,7 @@
     private val planner = Planner(queue, StepPlacer(eligibility, usage, failures), runs, usage, effects)
     private var planDueAt = 0L
     private var sweepDueAt = 0L
+    private var startedJobsDueAt = 0L
     private var planRequested = true
     private var lastPlannedChanges = -1L
 
@@ -56,9 +57,6 @@
     /** Number of workers that may get runs at [now] and number of all known workers, for status pages. */
     fun workerCounts(now: Long): Pair<Int, Int> = workers.all.count { workers.isUsable(it, state.drainedZones, now) } to workers.all.size
 
-    /** Number of jobs of [queue] that have been assigned to workers but of which no run is known to have started. */
-    fun unstartedJobs(queue: String): Int = runs.unstartedJobs(queue)
-
     /** Returns and removes the effects requested since the last call. */
     fun drain(): List<DispatchEffect> = effects.drain()
 
@@ -115,11 +113,19 @@
         } else {
             workers.takeTouched().forEach { callScheduler.sendDueCalls(it, now) }
         }
+        if (now >= startedJobsDueAt) proposeStartedJobs(now)
         val changes = workers.changes + runs.removals
         if (planRequested || changes != lastPlannedChanges || now >= planDueAt) plan(now)
         eligibility.takeDueRequests(now).forEach { effects.ask(it) }
     }
 
+    /** The next leader learns only from the log of a job that has started on a worker that is lost together with this leader. */
+    private fun proposeStartedJobs(now: Long) {
+        startedJobsDueAt = now + STARTED_JOBS_PERIOD_MILLIS
+        val jobs = runs.takeStartedJobs()
+        if (jobs.isNotEmpty()) effects.propose(FlowCommand.Ended(emptyList(), now, startedJobs = jobs))
+    }
+
     private fun plan(now: Long) {
         planRequested = false
         if (now >= planDueAt) eligibility.retain { isUnfinished(it) }
@@ -160,6 +166,9 @@
     private companion object {
         const val PLAN_PERIOD_MILLIS = 100L
 
+        /** Period at which started jobs are recorded, well below the allowed age of the count of pending jobs. */
+        const val STARTED_JOBS_PERIOD_MILLIS = 500L
+
         /** Period at which all workers are checked for due calls; between two checks, only those that something happened to. */
         const val SWEEP_PERIOD_MILLIS = 20L
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -7,7 +7,6 @@
 import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.state.FlowCommand
 import rhubarbknot.flow.state.FlowState
-import rhubarbknot.flow.state.JobPhase
 
 /** Indexes the runs that may exist by task and by job, and keeps the resource usage of teams up to date. */
 internal class RunTracker(
@@ -19,8 +18,8 @@
     private val byJob = HashMap<String, LinkedHashSet<RunRecord>>()
     private val countByStep = HashMap<StepKey, Int>()
 
-    /** Unfinished jobs of which a run is known to have started, or may have been started by an earlier leader. */
-    private val startedJobs = HashSet<String>()
+    /** Jobs of which a run is known to have started, which is not proposed to the log yet. */
+    private val startedJobs = LinkedHashSet<String>()
 
     /** Number of runs removed so far; a change means that resources may have become free. */
     var removals = 0L
@@ -55,29 +54,22 @@
         worker.add(record)
         usage.add(record.team, record.demand)
         if (job.phase.isFinal) record.stopWanted = true
-        if (stage == RunStage.INHERITED) markStarted(record)
     }
 
-    /** Records that [record] has started. */
+    /** Records that the worker of [record] has confirmed or listed it. */
     fun markStarted(record: RunRecord) {
-        val job = record.run.task.job
-        if (state.job(job)?.phase?.isFinal == false) startedJobs += job
+        val job = state.job(record.run.task.job) ?: return
+        if (job.isPending) startedJobs += job.id
     }
 
-    /** Drops what is only needed while [job] is unfinished. */
-    fun forgetStarted(job: String) {
-        startedJobs -= job
+    /** Returns the jobs that have started since the last call, to be proposed to the log. */
+    fun takeStartedJobs(): List<String> {
+        if (startedJobs.isEmpty()) return emptyList()
+        val taken = startedJobs.filter { state.job(it)?.isPending == true }
+        startedJobs.clear()
+        return taken
     }
 
-    /** Number of jobs of [queue] that have been assigned to workers but of which no run is known to have started. */
-    fun unstartedJobs(queue: String): Int =
-        state.liveJobs.count { job ->
-            job.phase == JobPhase.RUNNING &&
-                job.request.queue == queue &&
-                job.id !in startedJobs &&
-                job.steps.none { it.left < it.tasks.size }
-        }
-
     fun untrack(record: RunRecord) {
         if (byTask[record.run.task] !== record) return
         byTask.remove(record.run.task)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerReplyHandler.kt
@@ -258,7 +258,10 @@
             record.markEndListed(now)
             runs.markStarted(record)
         }
-        effects.propose(FlowCommand.Ended(newEnds.map { it.end }, now, worker.incarnation, worker.lastProposedEnd))
+        val ends = newEnds.map { it.end }
+        effects.propose(
+            FlowCommand.Ended(ends, now, worker.incarnation, worker.lastProposedEnd, startedJobs = runs.takeStartedJobs()),
+        )
     }
 
     private fun logStale(
--- a/flow/src/main/kotlin/rhubarbknot/flow/model/RunOutcome.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/model/RunOutcome.kt
@@ -23,6 +23,10 @@
 
     /** The worker no longer knows the run, or is gone. */
     LOST,
+    ;
+
+    /** Whether a run can only end this way after it has started; the others also end runs whose start was never executed. */
+    val showsStart: Boolean get() = this == DONE || this == FAILED
 }
 
 /**
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -60,7 +60,7 @@
     private val self = config.self
     private val replicaId = ReplicaId(self.replica)
     private val state = FlowState()
-    private val requestHandler = LeaderRequestHandler(state) { queue -> dispatcher?.unstartedJobs(queue) ?: 0 }
+    private val requestHandler = LeaderRequestHandler(state)
     private val router = RequestRouter(self.address, now)
     private val membershipManager = MembershipManager(replicaId, config.targetVoterCount, config.lostAfterMillis)
     private val replica =
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
@@ -18,14 +18,9 @@
     ) : RequestDecision
 }
 
-/**
- * Validates requests of callers and operators against the current state of the leader.
- *
- * @param unstartedJobs number of jobs of a queue that have been assigned to workers but not started.
- */
+/** Validates requests of callers and operators against the current state of the leader. */
 internal class LeaderRequestHandler(
     private val state: FlowState,
-    private val unstartedJobs: (queue: String) -> Int,
 ) {
     fun decide(
         request: FlowRequest,
@@ -77,7 +72,7 @@
         queue: Queue,
         id: String,
     ): FlowAnswer {
-        if (id.isEmpty()) return FlowAnswer.QueueIs(state.pending(queue.name) + unstartedJobs(queue.name))
+        if (id.isEmpty()) return FlowAnswer.QueueIs(state.pending(queue.name))
         val job = state.job(id) ?: return FlowAnswer.Refused(Refusal.UNKNOWN_JOB)
         return FlowAnswer.JobIs(job.phase)
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
@@ -48,10 +48,11 @@
     ) : FlowCommand
 
     /**
-     * Records the end of runs.
+     * Records the end of runs and which jobs have started.
      *
      * @property worker worker that reported the ends, if any; with this command all its ends up to number [upTo] are in the log.
      * @property crash crash of a worker that ended runs, if any; it may have ended them before this command.
+     * @property startedJobs jobs of which a worker has confirmed or listed a run.
      */
     @Serializable
     @SerialName("ended")
@@ -61,6 +62,7 @@
         val worker: WorkerIncarnation? = null,
         val upTo: Long = 0,
         val crash: WorkerCrash? = null,
+        val startedJobs: List<String> = emptyList(),
     ) : FlowCommand
 }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -41,7 +41,7 @@
     private val drained = TreeSet<String>()
     private val jobs = LinkedHashMap<String, Job>()
     private val liveJobIds = LinkedHashSet<String>()
-    private val queuedCounts = TreeMap<String, Int>()
+    private val pendingCounts = TreeMap<String, Int>()
     private val runsByWorker = HashMap<WorkerIncarnation, LinkedHashMap<TaskId, Int>>()
 
     /** Availability zones in which no run may be started. */
@@ -58,8 +58,8 @@
 
     fun job(id: String): Job? = jobs[id]
 
-    /** Number of jobs in [queue] of which no run was ever assigned to a worker. */
-    fun pending(queue: String): Int = queuedCounts[queue] ?: 0
+    /** Number of unfinished jobs in [queue] of which no run is known to have started. */
+    fun pending(queue: String): Int = pendingCounts[queue] ?: 0
 
     /** Tasks of which a run may exist on [worker], with the run numbers. */
     fun runsOn(worker: WorkerIncarnation): Map<TaskId, Int> = runsByWorker[worker].orEmpty()
@@ -75,6 +75,7 @@
             is FlowCommand.Cancel -> cancel(command)
             is FlowCommand.Assign -> FlowOutcome.Assigned(command.runs.filter { assign(it) })
             is FlowCommand.Ended -> {
+                command.startedJobs.forEach { id -> jobs[id]?.let { markStarted(it) } }
                 command.crash?.let { recordCrash(it, command.atMillis) }
                 command.ends.forEach { applyRunEnd(it, command.atMillis) }
                 FlowOutcome.Applied
@@ -93,7 +94,7 @@
         removeFinishedBefore(command.atMillis - retentionMillis)
         jobs[request.id] = Job(request, command.atMillis, request.steps.map { step -> Step(List(step.count) { Task() }) })
         liveJobIds.add(request.id)
-        queuedCounts.merge(request.queue, 1, Int::plus)
+        pendingCounts.merge(request.queue, 1, Int::plus)
         return FlowOutcome.Accepted
     }
 
@@ -117,17 +118,21 @@
         phase: JobPhase,
         atMillis: Long,
     ) {
-        setPhase(job, phase)
+        changePending(job) { job.phase = phase }
         job.finishedAtMillis = atMillis
         retireIfInactive(job)
     }
 
-    private fun setPhase(
+    private fun markStarted(job: Job) = changePending(job) { job.started = true }
+
+    /** Applies [change] to [job] and keeps the count of the pending jobs of its queue. */
+    private fun changePending(
         job: Job,
-        phase: JobPhase,
+        change: () -> Unit,
     ) {
-        if (job.phase == JobPhase.QUEUED && phase != JobPhase.QUEUED) queuedCounts.merge(job.request.queue, -1, Int::plus)
-        job.phase = phase
+        val wasPending = job.isPending
+        change()
+        if (wasPending && !job.isPending) pendingCounts.merge(job.request.queue, -1, Int::plus)
     }
 
     private fun retireIfInactive(job: Job) {
@@ -146,7 +151,7 @@
         task.run = assignment.run.number
         task.worker = assignment.worker
         runsByWorker.getOrPut(assignment.worker) { LinkedHashMap() }[id] = assignment.run.number
-        if (job.phase == JobPhase.QUEUED) setPhase(job, JobPhase.RUNNING)
+        if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
         return true
     }
 
@@ -157,6 +162,7 @@
         val id = end.run.task
         val job = jobs[id.job] ?: return
         val task = job.task(id) ?: return
+        if (end.ending.showsStart || end.checkpoint.isNotEmpty()) markStarted(job)
         if (end.checkpoint.isNotEmpty()) storeCheckpoint(job, id, end.checkpoint)
         // A worker that was given up may list an end as done before the task is started again: then it needs no other run.
         if (end.run.number != task.run || (task.worker == null && end.ending != RunOutcome.DONE)) return
@@ -249,7 +255,7 @@
         drained.addAll(image.drained)
         jobs.clear()
         liveJobIds.clear()
-        queuedCounts.clear()
+        pendingCounts.clear()
         runsByWorker.clear()
         image.jobs.forEach { indexJob(it) }
     }
@@ -257,7 +263,8 @@
     private fun indexJob(job: Job) {
         jobs[job.id] = job
         if (!job.phase.isFinal || job.mayHaveActiveRuns()) liveJobIds.add(job.id)
-        if (job.phase == JobPhase.QUEUED) queuedCounts.merge(job.request.queue, 1, Int::plus)
+        if (job.hasStartedTask()) job.started = true
+        if (job.isPending) pendingCounts.merge(job.request.queue, 1, Int::plus)
         job.steps.forEachIndexed { stepIndex, step ->
             step.tasks.forEachIndexed { taskIndex, task ->
                 val worker = task.worker
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -36,7 +36,10 @@
     var failedRun: Int = 0,
     var checkpoint: String = "",
     var crashRecord: CrashRecord? = null,
-)
+) {
+    /** Whether an end or a checkpoint shows that a run has started. */
+    val hasStarted: Boolean get() = done || failures > 0 || checkpoint.isNotEmpty()
+}
 
 /** State of one step of a job and its tasks. */
 @Serializable
@@ -59,6 +62,7 @@
  * @property request the submitted request; payload and steps are dropped once the job is final and none of its runs may
  *   exist.
  * @property steps state of the steps; emptied at the same time.
+ * @property started whether a worker is known to have started a run of any task.
  */
 @Serializable
 class Job(
@@ -67,14 +71,21 @@
     var steps: List<Step>,
     var phase: JobPhase = JobPhase.QUEUED,
     var finishedAtMillis: Long = 0,
+    var started: Boolean = false,
 ) {
     val id: String get() = request.id
 
+    /** Whether the job is unfinished and no run of it is known to have started. */
+    val isPending: Boolean get() = !phase.isFinal && !started
+
     /** Whether all steps that step [index] depends on are done. */
     fun isReady(index: Int): Boolean = request.steps[index].after.all { steps[it].isDone }
 
     fun task(id: TaskId): Task? = steps.getOrNull(id.step)?.tasks?.getOrNull(id.index)
 
+    /** Whether the state of a task shows that a run of it has started. Snapshots of earlier versions do not hold [started]. */
+    fun hasStartedTask(): Boolean = steps.any { step -> step.left < step.tasks.size || step.tasks.any { it.hasStarted } }
+
     /** Whether a run of any task may still exist on a worker. */
     fun mayHaveActiveRuns(): Boolean = steps.any { step -> step.tasks.any { it.worker != null } }
 }
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -123,20 +123,14 @@
         @Test
         fun `counts a job as pending until a worker has confirmed one of its runs`() {
             val start = submitAndStart()
-            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(1)
-            expectThat(dispatcher.unstartedJobs("other")).isEqualTo(0)
+            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pending("other")).isEqualTo(0)
             reply(start, WorkerReply.NotSent)
             val next = startCalls(dispatchAll(300)).single()
-            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(1)
+            expectThat(state.pending("q")).isEqualTo(1)
             reply(next, WorkerReply.Done(now))
-            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(0)
-        }
-
-        @Test
-        fun `does not count a job of an earlier leader's runs as pending`() {
-            submitAndStart()
-            changeLeader()
-            expectThat(dispatcher.unstartedJobs("q")).isEqualTo(0)
+            dispatchAll(STARTED_JOBS_MILLIS)
+            expectThat(state.pending("q")).isEqualTo(0)
         }
 
         @Test
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTest.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherTest.kt
@@ -79,8 +79,11 @@
 
     protected fun startCalls(calls: List<WorkerCall>) = calls.starts
 
-    private companion object {
-        const val ROUNDS = 4
+    protected companion object {
+        private const val ROUNDS = 4
+
+        /** Time within which a started job is recorded in the replicated state. */
+        const val STARTED_JOBS_MILLIS = 600L
     }
 }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -192,6 +192,47 @@
         expectThat(restored.drainedZones).isEqualTo(setOf("z1"))
     }
 
+    @Nested
+    @DisplayName("when it counts pending jobs")
+    inner class Pending {
+        private fun started(vararg jobs: String) = state.apply(FlowCommand.Ended(emptyList(), 0, startedJobs = jobs.toList()))
+
+        @Test
+        fun `counts a job until it has started, whatever is assigned or ends without a start`() {
+            submit("a", step())
+            submit("b", step())
+            assign(run("a"), run("b"))
+            reportEnd(run("a"), RunOutcome.REJECTED)
+            reportEnd(run("b"), RunOutcome.LOST)
+            expectThat(state.pending("q")).isEqualTo(2)
+            started("a", "unknown")
+            expectThat(state.pending("q")).isEqualTo(1)
+            started("a")
+            state.apply(FlowCommand.Cancel("b", 5))
+            expectThat(state.pending("q")).isEqualTo(0)
+        }
+
+        @Test
+        fun `keeps what has started in snapshots`() {
+            submit("a", step())
+            submit("b", step())
+            assign(run("a"), run("b"))
+            started("a")
+            state.restore(state.snapshot())
+            expectThat(state.pending("q")).isEqualTo(1)
+        }
+
+        @Test
+        fun `counts a job with an end that only a started run can have as started`() {
+            submit("a", step(2))
+            submit("b", step(2))
+            assign(run("a"), run("b"))
+            reportEnd(run("a"))
+            reportEnd(run("b"), RunOutcome.FAILED)
+            expectThat(state.pending("q")).isEqualTo(0)
+        }
+    }
+
     @Nested
     @DisplayName("when workers crash under a task")
     inner class Crashes {
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/ClusterSimulation.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/ClusterSimulation.kt
@@ -27,7 +27,10 @@
         cluster.advance(STARTUP_MILLIS)
         cluster.every(submitIntervalMillis) { if (cluster.now < TRAFFIC_END_MILLIS) callers.submit() }
         cluster.every(CONFIGURE_INTERVAL_MILLIS) { if (cluster.now < TRAFFIC_END_MILLIS) callers.configure() }
-        cluster.every(QUERY_INTERVAL_MILLIS) { callers.queryJobs() }
+        cluster.every(QUERY_INTERVAL_MILLIS) {
+            callers.queryJobs()
+            callers.queryPendingCounts()
+        }
         val faults = FaultInjector(cluster, changesWorkers = crashingJobPeriod > 0)
         while (cluster.now < TRAFFIC_END_MILLIS) {
             faults.injectFault()
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/Oracle.kt
@@ -26,6 +26,7 @@
     private val crashesUnder = HashMap<TaskId, Int>()
     private val startsAfterThirdCrash = HashMap<TaskId, Int>()
     private val crashingJobs = HashSet<String>()
+    private val startedJobs = HashSet<String>()
 
     /** Violated invariants, with the time of each violation. */
     val violations = ArrayList<String>()
@@ -68,6 +69,7 @@
             violations += "$now NOT_SUBMITTED $run"
             return
         }
+        startedJobs += task.job
         val spec = request.steps[task.step]
         running[task].orEmpty().forEach { violations += "$now DUPLICATE $run on $worker while ${it.run} runs on ${it.worker}" }
         doneEnds[completionKey(task)]?.filter { !it.isExempt }?.forEach { end ->
@@ -156,6 +158,9 @@
     /** Whether every task of job [id] ended as done on a worker. */
     fun isComplete(id: String): Boolean = requests[id]?.let { request -> request.steps.indices.all { isStepDone(request, it) } } ?: false
 
+    /** Whether a worker has started a run of job [id]. */
+    fun hasStarted(id: String): Boolean = id in startedJobs
+
     private companion object {
         /** A task that crashes its workers must not be started this many times more after this many crashes. */
         const val MAX_FREE_CRASHES = 3
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
@@ -35,6 +35,7 @@
     var failedSoundJobs = 0
         private set
     private val refused = HashSet<String>()
+    private val queues = HashMap<String, String>()
     private val attempts = HashMap<String, Int>()
     private var jobCount = 0
     private var lastVersion = 0L
@@ -103,6 +104,7 @@
                 )
             }
         val queue = if (random.nextBoolean()) "urgent" else "later"
+        queues[id] = queue
         if (crashingJobPeriod > 0 && random.nextInt(crashingJobPeriod) == 0) cluster.oracle.addCrashingJob(id)
         cluster.oracle.jobSubmitted(JobRequest(id, queue, "team", "payload", steps))
         val isSingleAttempt = random.nextInt(8) == 0
@@ -132,6 +134,19 @@
             cluster.ask(cluster.gateways[cluster.random.nextInt(cluster.gateways.size)], request) { answer -> answerReceived(id, answer) }
         }
 
+    /** Reads the pending counts, which must not leave out an accepted job that no worker has started, whoever leads. */
+    fun queryPendingCounts() =
+        queues.values.distinct().forEach { queue ->
+            val waiting = accepted.filter { queues[it] == queue && !cluster.oracle.hasStarted(it) }
+            val request = FlowRequest.Ask(RequestTarget("host", "/$queue/", "key"))
+            cluster.ask(cluster.gateways[cluster.random.nextInt(cluster.gateways.size)], request) { answer ->
+                val missing = waiting.count { !cluster.oracle.hasStarted(it) }
+                if (answer is FlowAnswer.QueueIs && answer.pending < missing) {
+                    violations += "${cluster.now} PENDING $queue has ${answer.pending}, but $missing accepted jobs have not started"
+                }
+            }
+        }
+
     private fun answerReceived(
         id: String,
         answer: FlowAnswer?,
@@ -152,6 +167,7 @@
             // A task under which two workers have crashed may be given up.
             if (phases[id] != JobPhase.FAILED || crashes < 2) violations += "LOST $id is ${phases[id]} after $crashes crashes"
         }
+        queues.values.distinct().forEach { queue -> checkNothingPending(queue) }
         refused.filter { cluster.oracle.hasRun(it) }.forEach { violations += "REFUSED $it has run" }
         cluster.controls.forEach { control ->
             cluster.ask(control, FlowRequest.ReadConfiguration) { answer ->
@@ -161,6 +177,11 @@
         }
     }
 
+    private fun checkNothingPending(queue: String) =
+        cluster.ask(cluster.gateways.first(), FlowRequest.Ask(RequestTarget("host", "/$queue/", "key"))) { answer ->
+            if (answer != FlowAnswer.QueueIs(0)) violations += "PENDING $queue has $answer after all jobs have finished"
+        }
+
     private companion object {
         const val RETRY_MILLIS = 250L
     }
