Bounded turns of the control thread, whatever the size of a job

Callers got 503 and 504 for good after a few jobs of 6,000 steps. A leader renews its lease of 400 ms on the control thread, and several steps of a turn there grew with the square of a job, the critical path (JobTiming.of) first; what it had computed was lost with its term, so each new leader began anew. Change: JobProgress keeps what decisions need of the steps of a job, in every replica; the critical path is one pass over the dependencies; a plan of more than 100,000 operations or 500 runs goes on in the next turn with its order and reservations (PlanningPass); no new runs are planned while 1,000 wait for their commit; gangs, room checks, choice of workers, paces, eligibility requests and log lines are linear or limited. long_turn and rhubarbknot_control_turn name a long turn. Before and after: BoundedTurnSpec reads the dependencies of a job of 2,000 steps 39,840,310 times on the old code, 160,000 at most now; three of its tests fail there.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/AppliedCommandHandler.kt
@@ -54,7 +54,7 @@
                 runs.untrack(record)
                 return@forEach
             }
-            record.stage = RunStage.STARTING
+            runs.markCommitted(record)
             workers.touch(record.worker)
             record.committedAt = now
             if (record.run.number > 1) logRestarted(record, now)
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -57,6 +57,9 @@
     /** Number of workers that may get runs at [now] and number of all known workers, for status pages. */
     fun workerCounts(now: Long): Pair<Int, Int> = workers.all.count { workers.isUsable(it, state.drainedZones, now) } to workers.all.size
 
+    /** Operations of the longest turn of planning so far, for status pages. */
+    val longestPlanningTurn: Int get() = planner.longestTurn
+
     /** Returns and removes the effects requested since the last call. */
     fun drain(): List<DispatchEffect> = effects.drain()
 
@@ -115,7 +118,7 @@
         }
         if (now >= startedJobsDueAt) proposeStartedJobs(now)
         val changes = workers.changes + runs.removals
-        if (planRequested || changes != lastPlannedChanges || now >= planDueAt) plan(now)
+        if (planner.isUnfinished || planRequested || changes != lastPlannedChanges || now >= planDueAt) plan(now)
         eligibility.takeDueRequests(now).forEach { effects.ask(it) }
     }
 
@@ -127,10 +130,15 @@
     }
 
     private fun plan(now: Long) {
-        planRequested = false
-        if (now >= planDueAt) eligibility.retain { isUnfinished(it) }
-        planDueAt = now + PLAN_PERIOD_MILLIS
-        lastPlannedChanges = workers.changes + runs.removals
+        // Their starts are all sent in the turn in which they are committed.
+        if (runs.proposedCount >= MAX_PROPOSED_RUNS) return
+        // What changes during a pass is seen by the next one.
+        if (!planner.isUnfinished) {
+            planRequested = false
+            if (now >= planDueAt) eligibility.retain { isUnfinished(it) }
+            planDueAt = now + PLAN_PERIOD_MILLIS
+            lastPlannedChanges = workers.changes + runs.removals
+        }
         val configuration = state.configuration ?: return
         val planned = planner.plan(configuration, now) { workers.all.filter { workers.isUsable(it, state.drainedZones, now) } }
         if (planned.isEmpty()) return
@@ -151,7 +159,7 @@
         placed: List<PlannedRun>,
     ) {
         val placements =
-            placed.joinToString(",") {
+            placed.joinToString(",", limit = MAX_LOGGED_PLACEMENTS, truncated = "and ${placed.size - MAX_LOGGED_PLACEMENTS} more") {
                 val run = it.assignment.run
                 "${run.task.index}:${run.number}@${it.worker.incarnation}"
             }
@@ -166,6 +174,12 @@
     private companion object {
         const val PLAN_PERIOD_MILLIS = 100L
 
+        /** Runs whose assignment is not committed yet, from which on no more are planned; a plan may exceed it once. */
+        const val MAX_PROPOSED_RUNS = 1_000
+
+        /** Runs of a step that one line of the event log names; each has a line of its own when it starts. */
+        const val MAX_LOGGED_PLACEMENTS = 50
+
         /** Period at which started jobs are recorded, well below the allowed age of the count of pending jobs. */
         const val STARTED_JOBS_PERIOD_MILLIS = 500L
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityTracker.kt
@@ -112,16 +112,19 @@
     fun takeDueRequests(now: Long): List<EligibilityRequest> {
         expire(now)
         if (pending.isEmpty()) return emptyList()
+        val availableCallers = callers.entries.filterTo(ArrayList()) { it.value.openRequest == null && it.value.pausedUntil <= now }
+        if (availableCallers.isEmpty()) return emptyList()
         val requests = ArrayList<EligibilityRequest>()
         pending.sortWith(compareBy({ it.priority }, { it.cost }))
-        val iterator = pending.iterator()
-        while (iterator.hasNext()) {
-            val next = iterator.next()
-            val availableCallers = callers.entries.filter { it.value.openRequest == null && it.value.pausedUntil <= now }
+        val sent = HashSet<PendingRequest>()
+        for (next in pending) {
+            if (availableCallers.isEmpty()) break
             val reservedCallers = if (next.cost > LONG_COST_MILLIS) callers.size / RESERVED_CALLERS_DIVISOR else 0
             if (availableCallers.size <= reservedCallers) continue
-            val (name, caller) = availableCallers.minBy { it.value.lastUsed }
-            iterator.remove()
+            val available = availableCallers.minBy { it.value.lastUsed }
+            availableCallers -= available
+            val (name, caller) = available
+            sent += next
             lastNumber++
             val timeout = (next.cost * TIMEOUT_FACTOR).toLong() + TIMEOUT_EXTRA_MILLIS
             caller.openRequest = lastNumber
@@ -129,6 +132,7 @@
             openRequests[lastNumber] = OpenRequest(next, name, now + timeout + TIMEOUT_EXTRA_MILLIS)
             requests += EligibilityRequest(lastNumber, name, next.step, next.workers.map { it.id }, timeout)
         }
+        if (sent.isNotEmpty()) pending.removeIf { it in sent }
         return requests
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
@@ -3,24 +3,28 @@
 import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.model.StepSpec
 
-/** Free resources of each worker of a pool while a plan is computed. */
+/**
+ * Free resources of each worker of a pool during one turn of a plan.
+ *
+ * @param reservations what earlier steps of the plan have reserved.
+ */
 internal class FreeCapacity(
     val workers: List<WorkerRecord>,
+    private val reservations: Reservations,
     now: Long,
 ) {
     private val free = LinkedHashMap<WorkerRecord, Resources>(workers.size * 2)
     private val startsLeft = HashMap<WorkerRecord, Int>()
-    private var hasReservation = false
 
     /** Which starts must not share a worker. */
-    val isolation = StartIsolation()
+    val isolation = StartIsolation(reservations.heldFor)
 
-    /** CPU that may still be reserved for gangs, in thousandths of a core. */
-    private var reservableMilliCpus = workers.sumOf { it.capacity.milliCpus.toLong() } * MAX_RESERVED_PERCENT / WHOLE_PERCENT
+    /** CPU that may be reserved for gangs, in thousandths of a core. */
+    private val reservableMilliCpus = workers.sumOf { it.capacity.milliCpus.toLong() } * MAX_RESERVED_PERCENT / WHOLE_PERCENT
 
     init {
         workers.forEach { worker ->
-            free[worker] = worker.free
+            free[worker] = reservations.resources[worker]?.let { worker.free - it } ?: worker.free
             worker.trust
                 .startsAllowed(worker, now)
                 .takeIf { it < Int.MAX_VALUE }
@@ -53,7 +57,7 @@
     ) {
         val milliCpus = gang.demand.milliCpus.toLong() * gang.count
         // The first gang may exceed the limit; otherwise a large gang would wait forever.
-        if (hasReservation && milliCpus > reservableMilliCpus) return
+        if (reservations.milliCpus > 0 && reservations.milliCpus + milliCpus > reservableMilliCpus) return
         val remaining = LinkedHashMap<WorkerRecord, Resources>()
         val total = HashMap<WorkerRecord, Resources>()
         allowed.forEach {
@@ -68,9 +72,11 @@
             total[target] = total.getValue(target) - gang.demand
             targets += target
         }
-        hasReservation = true
-        reservableMilliCpus -= milliCpus
-        targets.forEach { free[it] = of(it) - gang.demand }
+        reservations.milliCpus += milliCpus
+        targets.forEach {
+            free[it] = of(it) - gang.demand
+            reservations.resources.merge(it, gang.demand, Resources::plus)
+        }
     }
 
     private companion object {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
@@ -1,6 +1,7 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.flow.model.Queue
+import rhubarbknot.flow.model.StepSpec
 import rhubarbknot.flow.state.Job
 
 /** Scheduling class of a step by how much value its job can still have for its caller. */
@@ -83,11 +84,7 @@
         ): JobTiming {
             val steps = job.request.steps
             val eligibilityMillis = queue.eligibility?.let { (it.decideMillis + it.perWorkerMillis * WORKERS_PER_REQUEST).toLong() } ?: 0
-            val remainingMillis = LongArray(steps.size)
-            for (i in steps.indices.reversed()) {
-                val successorMillis = steps.indices.filter { i in steps[it].after }.maxOfOrNull { remainingMillis[it] } ?: 0
-                remainingMillis[i] = eligibilityMillis + durations.expectedMillis(queue.name, steps[i]) + successorMillis
-            }
+            val remainingMillis = remainingMillis(steps) { eligibilityMillis + durations.expectedMillis(queue.name, it) }
             val stretchedMillis = (queue.slackFactor * (remainingMillis.maxOrNull() ?: 0)).toLong()
             val allowedMillis = minOf(stretchedMillis, MAX_ALLOWED_MILLIS) + minOf(queue.targetMillis, MAX_ALLOWED_MILLIS)
             return JobTiming(
@@ -97,5 +94,20 @@
                 lasting = BooleanArray(steps.size) { steps[it].lasting },
             )
         }
+
+        /** For each step, the length of the critical path from its start to the end of the job, in one pass over the dependencies. */
+        private inline fun remainingMillis(
+            steps: List<StepSpec>,
+            durationMillis: (StepSpec) -> Long,
+        ): LongArray {
+            // A step comes after all steps that it depends on, so its own path is complete when it is reached from the end.
+            val longestSuccessor = LongArray(steps.size)
+            return LongArray(steps.size).also { remaining ->
+                for (i in steps.indices.reversed()) {
+                    remaining[i] = durationMillis(steps[i]) + longestSuccessor[i]
+                    steps[i].after.forEach { longestSuccessor[it] = maxOf(longestSuccessor[it], remaining[i]) }
+                }
+            }
+        }
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -15,7 +15,7 @@
     val tier: Tier,
 )
 
-/** Places the waiting steps on workers in queue order. */
+/** Places the waiting steps on workers in queue order, in turns of limited length. */
 internal class Planner(
     private val queue: WorkQueue,
     private val placer: StepPlacer,
@@ -24,39 +24,81 @@
     private val effects: EffectBuffer,
 ) {
     private val loggedReasons = HashMap<StepKey, WaitReason>()
+    private var pass: PlanningPass? = null
 
-    /** Places as many waiting tasks as possible at [now]; [usableWorkers] is called only if any task waits. */
+    /** Whether the current pass has steps left for the next turn. */
+    val isUnfinished: Boolean get() = pass != null
+
+    /** Operations of the longest turn so far. */
+    var longestTurn = 0
+        private set
+
+    /**
+     * Goes on with the current pass or begins one at [now], and returns the runs to assign; [usableWorkers] is called only if any task
+     * waits.
+     */
     fun plan(
         configuration: Configuration,
         now: Long,
         usableWorkers: () -> List<WorkerRecord>,
     ): List<PlannedRun> {
+        val current = pass?.takeIf { it.configuration === configuration } ?: beginPass(configuration)
+        val budget = OperationBudget(MAX_OPERATIONS)
+        queue.collect(current, runs, now, budget)
+        val placed = if (current.isCollected) place(current, now, budget, usableWorkers) else emptyList()
+        if (current.isCollected && current.steps.isEmpty()) {
+            usage.releaseReservations()
+            pass = null
+        }
+        longestTurn = maxOf(longestTurn, budget.spent)
+        return placed
+    }
+
+    private fun beginPass(configuration: Configuration): PlanningPass {
         queue.removeFinished()
-        val waiting = queue.waiting(configuration, runs, now)
-        if (waiting.isEmpty()) return emptyList()
-        val pools = usableWorkers().groupBy { it.report?.pool }.mapValues { FreeCapacity(it.value, now) }
-        val placed = ArrayList<PlannedRun>()
         usage.releaseReservations()
-        waiting.forEach { step ->
-            val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), now)
-            when (val result = placer.place(step, configuration, free, runs, now)) {
+        return PlanningPass(configuration).also { pass = it }
+    }
+
+    private fun place(
+        pass: PlanningPass,
+        now: Long,
+        budget: OperationBudget,
+        usableWorkers: () -> List<WorkerRecord>,
+    ): List<PlannedRun> {
+        if (pass.steps.isEmpty()) return emptyList()
+        val pools =
+            usableWorkers().groupBy { it.report?.pool }.mapValues { (pool, workers) -> FreeCapacity(workers, pass.reservations(pool), now) }
+        val placed = ArrayList<PlannedRun>()
+        while (!budget.isSpent && placed.size < MAX_RUNS) {
+            val step = pass.steps.poll() ?: break
+            if (step.waitingCount <= 0) continue
+            val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), pass.reservations(step.queue.pool), now)
+            budget.spend(1 + free.workers.size)
+            val maxRuns = MAX_RUNS - placed.size
+            when (val result = placer.place(step, pass.configuration, free, runs, now, maxRuns)) {
                 is PlacementResult.Placed -> {
                     loggedReasons.remove(step.key)
+                    budget.spend(result.runs.size)
                     result.runs.forEach { run ->
                         free.allocate(run.worker, run.demand)
                         usage.add(run.team, run.demand)
                     }
                     placed += result.runs
+                    // The rest of the step keeps its place in the order.
+                    if (result.runs.size >= maxRuns && step.waitingCount > result.runs.size) pass.steps += step
                 }
                 is PlacementResult.NotPlaced -> {
                     logWaitReason(step, result.reason, now)
-                    if (step.spec.gang) reserveForGang(step, result.reason, configuration, free, now)
+                    if (step.spec.gang) {
+                        budget.spend(step.spec.count)
+                        reserveForGang(step, result.reason, pass.configuration, free, now)
+                    }
                 }
             }
         }
         // The usage is added again when the runs are tracked.
         placed.forEach { usage.remove(it.team, it.demand) }
-        usage.releaseReservations()
         return placed
     }
 
@@ -83,17 +125,24 @@
         now: Long,
     ) {
         if (now - step.readyAt < MIN_LOGGED_WAIT_MILLIS || loggedReasons[step.key] == reason) return
+        if (loggedReasons.size >= MAX_LOGGED_REASONS && step.key !in loggedReasons) return
         loggedReasons[step.key] = reason
-        if (loggedReasons.size > MAX_LOGGED_REASONS) loggedReasons.clear()
         effects.logEvent(
             DispatchEvent.STEP_WAITS,
             step.key.toString(),
-            "reason=$reason since=${now - step.readyAt}ms tier=${step.tier} tasks=${step.waiting.size} cpu=${step.spec.demand.milliCpus}",
+            "reason=$reason since=${now - step.readyAt}ms tier=${step.tier} tasks=${step.waitingCount} cpu=${step.spec.demand.milliCpus}",
         )
     }
 
     private companion object {
+        /** A few hundredths of a second, and so a small part of a leader's lease. */
+        const val MAX_OPERATIONS = 100_000
+
+        /** Runs that one command assigns, so that neither its entry in the log nor its starts take long; a gang may exceed it. */
+        const val MAX_RUNS = 500
         const val MIN_LOGGED_WAIT_MILLIS = 300L
+
+        /** Waiting steps whose reasons are remembered, so that each is logged once; further steps are not logged. */
         const val MAX_LOGGED_REASONS = 5_000
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ProgressMonitor.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/ProgressMonitor.kt
@@ -61,7 +61,13 @@
         localRuns: List<RunRecord>,
     ): Double? {
         val worker = localRuns.first().worker
-        val otherPaces = runs.ofStep(step).filter { it.worker !== worker && it.progress.paceMillis > 0 }.map { it.progress.paceMillis }
+        val compared =
+            runs
+                .ofStep(step)
+                ?.records
+                .orEmpty()
+                .take(MAX_COMPARED_RUNS)
+        val otherPaces = compared.filter { it.worker !== worker && it.progress.paceMillis > 0 }.map { it.progress.paceMillis }
         if (otherPaces.size < MIN_OTHER_RUNS) return null
         return ln(localRuns.map { it.progress.paceMillis }.average() / otherPaces.sorted()[otherPaces.size / 2])
     }
@@ -83,6 +89,9 @@
         const val STALL_DIVISOR = 8
         const val MIN_STEPS = 2
         const val MIN_OTHER_RUNS = 2
+
+        /** Runs of a step that are looked at for its usual pace; a step may have thousands. */
+        const val MAX_COMPARED_RUNS = 300
         const val SLOW_FACTOR = 3.0
     }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RoomGuard.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RoomGuard.kt
@@ -1,5 +1,7 @@
 package rhubarbknot.flow.dispatch
 
+import rhubarbknot.core.model.Resources
+
 /**
  * Checks a start against the room of its worker at the moment it is sent. The room may have shrunk since the run was placed or
  * since the start was last sent, and workers need not check it themselves.
@@ -18,28 +20,34 @@
         WITHDRAW,
     }
 
-    /** Verdict on the start of [run] on [worker] at [now]. A start whose outcome is unknown counts as started. */
+    /**
+     * Verdict on the start of [run] on [worker] at [now], where runs that demand [present] may be present. A start whose outcome is
+     * unknown counts as started.
+     */
     fun check(
         run: RunRecord,
         worker: WorkerRecord,
+        present: Resources,
         now: Long,
     ): Verdict {
         val isReportCurrent = now - worker.reportedAt <= settings.reportTimeoutMillis
-        val others = worker.runs.values.filter { it !== run && it.mayBePresent }
-        val isFitting = fits(run, others, worker)
+        val total = if (run.mayBePresent) present else present + run.demand
+        val isFitting = total.fitsIn(worker.capacity)
         return when {
             isFitting && isReportCurrent -> Verdict.SEND
             !run.startUncertain -> Verdict.WITHDRAW
-            isFitting || fits(run, others.filter { hasPrecedence(it, run) }, worker) -> Verdict.WAIT
+            isFitting || fitsBesidePrecedent(run, worker) -> Verdict.WAIT
             else -> Verdict.WITHDRAW
         }
     }
 
-    private fun fits(
+    private fun fitsBesidePrecedent(
         run: RunRecord,
-        others: List<RunRecord>,
         worker: WorkerRecord,
-    ): Boolean = others.fold(run.demand) { sum, other -> sum + other.demand }.fitsIn(worker.capacity)
+    ): Boolean {
+        val precedent = worker.runs.values.filter { it !== run && it.mayBePresent && hasPrecedence(it, run) }
+        return precedent.fold(run.demand) { sum, other -> sum + other.demand }.fitsIn(worker.capacity)
+    }
 
     /** Whether [other] keeps its room if it does not suffice for both: it runs, or it was placed before [run] and is not stopped. */
     private fun hasPrecedence(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -16,11 +16,15 @@
 ) {
     private val byTask = HashMap<TaskId, RunRecord>()
     private val byJob = HashMap<String, LinkedHashSet<RunRecord>>()
-    private val countByStep = HashMap<StepKey, Int>()
+    private val byStep = HashMap<StepKey, StepRuns>()
 
     /** Jobs of which a run is known to have started, which is not proposed to the log yet. */
     private val startedJobs = LinkedHashSet<String>()
 
+    /** Number of tracked runs whose assignment is not committed yet. */
+    var proposedCount = 0
+        private set
+
     /** Number of runs removed so far; a change means that resources may have become free. */
     var removals = 0L
         private set
@@ -30,11 +34,8 @@
     /** The record of exactly this run, not of an earlier or later run of the same task. */
     fun of(run: RunId): RunRecord? = byTask[run.task]?.takeIf { it.run == run }
 
-    /** All tracked runs of [step]. */
-    fun ofStep(step: StepKey): List<RunRecord> = byJob[step.job].orEmpty().filter { it.run.task.step == step.step }
-
-    /** Number of tracked runs of [step]. */
-    fun countOfStep(step: StepKey): Int = countByStep[step] ?: 0
+    /** All tracked runs of [step]; null for none. */
+    fun ofStep(step: StepKey): StepRuns? = byStep[step]
 
     /** Tracks [run] on [worker]; does nothing when its job is unknown. */
     fun track(
@@ -46,10 +47,11 @@
     ) {
         val job = state.job(run.task.job) ?: return
         val step = job.request.steps[run.task.step]
-        val isSuspect = job.steps[run.task.step].isCrashSuspect
+        val isSuspect = job.isCrashSuspect(run.task.step)
         val record = RunRecord(run, job.request.team, job.request.queue, step, worker, stage, ticket, proposedAt, isSuspect)
-        byTask.put(run.task, record)?.let { changeCount(it, -1) }
-        changeCount(record, 1)
+        byTask.put(run.task, record)?.let { removeFromStep(it) }
+        if (stage == RunStage.PROPOSED) proposedCount++
+        byStep.getOrPut(StepKey(job.id, run.task.step)) { StepRuns() }.add(record)
         byJob.getOrPut(job.id) { LinkedHashSet() }.add(record)
         worker.add(record)
         usage.add(record.team, record.demand)
@@ -73,7 +75,7 @@
     fun untrack(record: RunRecord) {
         if (byTask[record.run.task] !== record) return
         byTask.remove(record.run.task)
-        changeCount(record, -1)
+        removeFromStep(record)
         byJob[record.run.task.job]?.let { jobRuns ->
             jobRuns.remove(record)
             if (jobRuns.isEmpty()) byJob.remove(record.run.task.job)
@@ -83,11 +85,19 @@
         removals++
     }
 
-    private fun changeCount(
-        record: RunRecord,
-        change: Int,
-    ) {
-        countByStep.merge(StepKey(record.run.task.job, record.run.task.step), change) { a, b -> (a + b).takeIf { it > 0 } }
+    private fun removeFromStep(record: RunRecord) {
+        val key = StepKey(record.run.task.job, record.run.task.step)
+        if (record.stage == RunStage.PROPOSED) proposedCount--
+        val stepRuns = byStep[key] ?: return
+        stepRuns.remove(record)
+        if (stepRuns.isEmpty) byStep.remove(key)
+    }
+
+    /** Records that the assignment of [record] is committed. */
+    fun markCommitted(record: RunRecord) {
+        if (record.stage == RunStage.PROPOSED) proposedCount--
+        record.stage = RunStage.STARTING
+        byStep[StepKey(record.run.task.job, record.run.task.step)]?.committed(record)
     }
 
     fun stopJobRuns(job: String) {
@@ -99,10 +109,11 @@
         ended: RunId,
         onlyUnstarted: Boolean,
     ) {
-        byJob[ended.task.job]
-            ?.filter { it.run.task.step == ended.task.step && it.run.number == ended.number }
-            ?.filter { !onlyUnstarted || it.stage == RunStage.STARTING }
-            ?.forEach { it.stopWanted = true }
+        val members = byStep[StepKey(ended.task.job, ended.task.step)] ?: return
+        if (members.isGangStopped(ended.number, onlyUnstarted)) return
+        members.records
+            .filter { it.run.number == ended.number && (!onlyUnstarted || it.stage == RunStage.STARTING) }
+            .forEach { it.stopWanted = true }
     }
 
     /** Moves the runs of [predecessor] to [successor], the next incarnation of the same worker. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StartIsolation.kt
@@ -3,15 +3,18 @@
 /**
  * Keeps the start of a task that is suspected of crashing its workers apart from the starts of other jobs while a plan is
  * computed. If the worker then crashes, the task that caused it is known, and no other job is suspected with it.
+ *
+ * @param heldFor jobs for which workers are held during the whole plan.
  */
-internal class StartIsolation {
+internal class StartIsolation(
+    private val heldFor: MutableMap<WorkerRecord, String>,
+) {
     private class Planned(
         val job: String,
         val isSuspect: Boolean,
     )
 
     private val planned = HashMap<WorkerRecord, ArrayList<Planned>>()
-    private val heldFor = HashMap<WorkerRecord, String>()
 
     /** Whether a run of [step] may start on [worker] beside the runs that have started there just before. */
     fun allows(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -47,26 +47,30 @@
     private val usage: TeamUsage,
     private val failures: StepFailures,
 ) {
-    /** Places as many tasks of [step] as fit into [free] at [now], or returns why none can be placed. */
+    /**
+     * Places as many tasks of [step] as fit into [free] at [now], at most [maxRuns] unless they are a gang, or returns why none can be
+     * placed.
+     */
     fun place(
         step: WaitingStep,
         configuration: Configuration,
         free: FreeCapacity,
         runs: RunTracker,
         now: Long,
+        maxRuns: Int,
     ): PlacementResult {
         val spec = step.spec
-        if (spec.gang && step.waiting.size < spec.count) return PlacementResult.NotPlaced(WaitReason.GANG_STILL_ENDING)
+        if (spec.gang && step.waitingCount < spec.count) return PlacementResult.NotPlaced(WaitReason.GANG_STILL_ENDING)
         val ceiling = ceilingOf(step, configuration)
         val minDemand = if (spec.gang) spec.demand * spec.count else spec.demand
         if (!fitsCeiling(usage.of(step.team) + minDemand, ceiling)) return PlacementResult.NotPlaced(WaitReason.TEAM_AT_CEILING)
         val candidates = findCandidates(step, free, now)
         if (candidates.isEmpty()) return PlacementResult.NotPlaced(WaitReason.NO_ABLE_WORKER)
-        if (step.queue.eligibility == null) return assignTasks(step, candidates, free, ceiling, null, runs, now)
+        if (step.queue.eligibility == null) return assignTasks(step, candidates, free, ceiling, null, runs, now, maxRuns)
         val ticketLookup = lookUpTickets(step, candidates, free, now)
         if (ticketLookup is TicketLookup.Missing) return PlacementResult.NotPlaced(ticketLookup.reason)
         val tickets = (ticketLookup as TicketLookup.Valid).tickets
-        return assignTasks(step, candidates.filter { it in tickets }, free, ceiling, tickets, runs, now)
+        return assignTasks(step, candidates.filter { it in tickets }, free, ceiling, tickets, runs, now, maxRuns)
     }
 
     /**
@@ -187,7 +191,7 @@
     ): List<WorkerRecord> {
         if (!step.spec.rackLocal) return eligibleWorkers
         val racks = eligibleWorkers.groupBy { it.report?.rack }.values
-        val fittingRacks = racks.filter { rack -> rack.sumOf { slotsOn(it, step, free) } >= step.waiting.size }
+        val fittingRacks = racks.filter { rack -> rack.sumOf { slotsOn(it, step, free) } >= step.waitingCount }
         return fittingRacks.minByOrNull { rack -> rack.sumOf { free.of(it).milliCpus } } ?: eligibleWorkers
     }
 
@@ -199,6 +203,7 @@
         tickets: Map<WorkerRecord, Ticket>?,
         runs: RunTracker,
         now: Long,
+        maxRuns: Int,
     ): PlacementResult {
         val spec = step.spec
         val startable = eligibleWorkers.filter { free.isolation.allows(it, step) }
@@ -206,7 +211,8 @@
         val planned = ArrayList<PlannedRun>()
         var teamUsage = usage.of(step.team)
         val gangRun = if (spec.gang) step.tasks.maxOf { it.run } + 1 else 0
-        for (index in step.waiting) {
+        for (index in step.waiting()) {
+            if (!spec.gang && planned.size >= maxRuns) break
             if (!fitsCeiling(teamUsage + spec.demand, ceiling)) break
             val worker = taskSlots.takeBest() ?: break
             teamUsage += spec.demand
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/TaskSlots.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/TaskSlots.kt
@@ -1,6 +1,7 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.core.model.Resources
+import java.util.PriorityQueue
 
 /** Free slots for the tasks of a step, taken one at a time. */
 internal class TaskSlots(
@@ -9,51 +10,44 @@
     free: FreeCapacity,
     runs: RunTracker,
 ) {
+    private class WorkerSlots(
+        val worker: WorkerRecord,
+        var remaining: Resources,
+        var allowedStarts: Int,
+        val isNearData: Boolean,
+    )
+
     private val demand = step.spec.demand
-    private val remaining = LinkedHashMap<WorkerRecord, Resources>()
-    private val allowed = HashMap<WorkerRecord, Int>()
+    private val slots = PriorityQueue(if (step.isSuspect) suspectOrder else order)
 
     init {
-        val runsPerWorker = HashMap<String, Int>()
-        if (step.spec.spreadLimit > 0) {
-            // Uncommitted runs count against the spread limit as well.
-            step.tasks.indices.forEach { i ->
-                runs.of(step.taskId(i))?.let { runsPerWorker.merge(it.worker.incarnation.id, 1, Int::plus) }
-            }
-        }
+        // Uncommitted runs count against the spread limit as well.
+        val stepRuns = if (step.spec.spreadLimit > 0) runs.ofStep(step.key) else null
         eligibleWorkers.forEach { worker ->
             val bySpread =
-                if (step.spec.spreadLimit > 0) step.spec.spreadLimit - (runsPerWorker[worker.incarnation.id] ?: 0) else Int.MAX_VALUE
+                if (step.spec.spreadLimit > 0) step.spec.spreadLimit - (stepRuns?.countOn(worker.incarnation.id) ?: 0) else Int.MAX_VALUE
             val allowedStarts = minOf(bySpread, free.startsLeft(worker))
             if (allowedStarts > 0 && demand.fitsIn(free.of(worker))) {
-                remaining[worker] = free.of(worker)
-                allowed[worker] = allowedStarts
+                slots += WorkerSlots(worker, free.of(worker), allowedStarts, isNearData(worker))
             }
         }
     }
 
     /** Takes a slot on the best worker for one more task; null when there is none. */
     fun takeBest(): WorkerRecord? {
-        val best =
-            remaining.keys.minWithOrNull(
-                // A crash ends all runs of a worker, so a suspect starts where the fewest run.
-                compareBy(
-                    { if (step.isSuspect) it.runs.size else 0 },
-                    { !isNearData(it) },
-                    { remaining.getValue(it).milliCpus },
-                    { it.incarnation.id },
-                ),
-            ) ?: return null
-        val remainingHere = remaining.getValue(best) - demand
-        val allowedStarts = allowed.getValue(best) - 1
-        if (allowedStarts > 0 && demand.fitsIn(remainingHere)) {
-            remaining[best] = remainingHere
-            allowed[best] = allowedStarts
-        } else {
-            remaining.remove(best)
-        }
-        return best
+        val best = slots.poll() ?: return null
+        best.remaining -= demand
+        best.allowedStarts--
+        if (best.allowedStarts > 0 && demand.fitsIn(best.remaining)) slots += best
+        return best.worker
     }
 
     private fun isNearData(worker: WorkerRecord): Boolean = step.spec.dataRack.isEmpty() || worker.report?.rack == step.spec.dataRack
+
+    private companion object {
+        val order = compareBy<WorkerSlots>({ !it.isNearData }, { it.remaining.milliCpus }, { it.worker.incarnation.id })
+
+        /** A crash ends all runs of a worker, so a suspect starts where the fewest run. */
+        val suspectOrder = compareBy<WorkerSlots> { it.worker.runs.size }.then(order)
+    }
 }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerCallScheduler.kt
@@ -1,5 +1,6 @@
 package rhubarbknot.flow.dispatch
 
+import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.state.FlowState
 
 /** Sends due starts, stops and lease renewals to workers, and ends the runs of workers that are guaranteed to run nothing. */
@@ -35,6 +36,7 @@
         address: String,
         now: Long,
     ) {
+        val starts = DueStarts(worker)
         worker.runs.values.toList().forEach { run ->
             if (run.callInFlight || run.ending || run.retryAt > now) return@forEach
             when {
@@ -48,7 +50,7 @@
                     effects.call(WorkerCall.Stop(worker.incarnation, address, worker.fencingToken, run.run), settings.callTimeoutMillis)
                 }
                 run.stage == RunStage.STARTING && !run.stopWanted && mayRepeatStart(run, worker, now) ->
-                    sendStart(run, worker, address, now)
+                    sendStart(run, starts, address, now)
             }
         }
     }
@@ -77,12 +79,33 @@
         return run.ticket != null || !run.startUncertain || !isSilent
     }
 
+    /** The starts that are due on [worker] in one turn, with the demand of the runs that may be present there. */
+    private class DueStarts(
+        val worker: WorkerRecord,
+    ) {
+        val present: Resources by lazy {
+            worker.runs.values.fold(
+                Resources.NONE,
+            ) { sum, run -> if (run.mayBePresent) sum + run.demand else sum }
+        }
+        private var sent = Resources.NONE
+
+        /** Demand of the runs that may be present, with the starts that were sent in this turn. */
+        val demand: Resources get() = present + sent
+
+        /** Counts the start of [run], which is about to be sent. */
+        fun add(run: RunRecord) {
+            if (!run.mayBePresent) sent += run.demand
+        }
+    }
+
     private fun sendStart(
         run: RunRecord,
-        worker: WorkerRecord,
+        starts: DueStarts,
         address: String,
         now: Long,
     ) {
+        val worker = starts.worker
         val job = state.job(run.run.task.job) ?: return
         val ticket = run.ticket
         if (ticket != null && ticket.validUntil <= now && !run.startUncertain) {
@@ -95,8 +118,9 @@
             runs.rejectRun(run, now, "ticket expired before the start")
             return
         }
-        if (!mayStartNow(run, worker, now)) return
-        val checkpoint = job.task(run.run.task)?.checkpoint.orEmpty()
+        if (!mayStartNow(run, starts, now)) return
+        val checkpoint = job.checkpoint(run.run.task)
+        starts.add(run)
         run.callInFlight = true
         val deadline = leases.grant(worker, now)
         val call =
@@ -113,13 +137,14 @@
         effects.call(call, settings.callTimeoutMillis)
     }
 
-    /** Whether the room of [worker] still allows the start of [run]; withdraws the run if it never will. */
+    /** Whether the room of the worker of [starts] still allows the start of [run]; withdraws the run if it never will. */
     private fun mayStartNow(
         run: RunRecord,
-        worker: WorkerRecord,
+        starts: DueStarts,
         now: Long,
     ): Boolean {
-        val verdict = roomGuard.check(run, worker, now)
+        val worker = starts.worker
+        val verdict = roomGuard.check(run, worker, starts.demand, now)
         when (verdict) {
             RoomGuard.Verdict.SEND -> Unit
             RoomGuard.Verdict.WAIT -> run.retryAt = now + settings.retryMillis
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -135,6 +135,7 @@
                 "live_jobs" to state.liveJobCount.toLong(),
                 "configuration_version" to (state.configuration?.version ?: 0),
                 "usable_workers" to (dispatcher?.workerCounts(now)?.first?.toLong() ?: 0),
+                "longest_planning_turn_operations" to (dispatcher?.longestPlanningTurn?.toLong() ?: 0),
             ),
         )
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/EventLogEntry.kt
@@ -34,6 +34,7 @@
     LEADERSHIP_LOST,
     CLOCK_GAP,
     CLOCK_STEPPED,
+    LONG_TURN,
     MEMBERS_PROPOSED,
     DISK_FAILED,
     DISK_REGAINED,
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -42,6 +42,8 @@
     private val jobs = LinkedHashMap<String, Job>()
     private val liveJobIds = LinkedHashSet<String>()
     private val pendingCounts = TreeMap<String, Int>()
+    private val startable = TreeMap<Long, Job>()
+    private var lastSequence = 0L
     private val runsByWorker = HashMap<WorkerIncarnation, LinkedHashMap<TaskId, Int>>()
 
     /** Availability zones in which no run may be started. */
@@ -50,6 +52,12 @@
     /** Jobs that are not final or of which a run may still exist, in order of acceptance. */
     val liveJobs: Sequence<Job> get() = liveJobIds.asSequence().map { jobs.getValue(it) }
 
+    /**
+     * First job accepted after the one with the sequence number [after] that has a step whose dependencies are done with tasks that
+     * have no worker; null for none. Each job is found by its number, so that a search may pause and go on after changes.
+     */
+    fun nextStartableJob(after: Long): Job? = startable.higherEntry(after)?.value
+
     /** Number of [liveJobs]. */
     val liveJobCount: Int get() = liveJobIds.size
 
@@ -92,8 +100,11 @@
         val request = command.request
         if (request.id in jobs) return FlowOutcome.Accepted
         removeFinishedBefore(command.atMillis - retentionMillis)
-        jobs[request.id] = Job(request, command.atMillis, request.steps.map { step -> Step(List(step.count) { Task() }) })
+        val job = Job(request, command.atMillis, request.steps.map { step -> Step(List(step.count) { Task() }) })
+        job.sequence = ++lastSequence
+        jobs[request.id] = job
         liveJobIds.add(request.id)
+        updateStartable(job)
         pendingCounts.merge(request.queue, 1, Int::plus)
         return FlowOutcome.Accepted
     }
@@ -120,9 +131,14 @@
     ) {
         changePending(job) { job.phase = phase }
         job.finishedAtMillis = atMillis
+        updateStartable(job)
         retireIfInactive(job)
     }
 
+    private fun updateStartable(job: Job) {
+        if (job.hasStartableSteps) startable.putIfAbsent(job.sequence, job) else startable.remove(job.sequence)
+    }
+
     private fun markStarted(job: Job) = changePending(job) { job.started = true }
 
     /** Applies [change] to [job] and keeps the count of the pending jobs of its queue. */
@@ -136,20 +152,16 @@
     }
 
     private fun retireIfInactive(job: Job) {
-        if (!job.phase.isFinal || job.mayHaveActiveRuns()) return
+        if (!job.phase.isFinal || job.mayHaveActiveRuns) return
         liveJobIds.remove(job.id)
-        job.steps = emptyList()
-        job.request = job.request.copy(payload = "", steps = emptyList())
+        job.retire()
     }
 
     private fun assign(assignment: Assignment): Boolean {
         val id = assignment.run.task
         val job = jobs[id.job] ?: return false
-        val task = job.task(id) ?: return false
-        val isAssignable = !job.phase.isFinal && job.isReady(id.step) && !task.done && task.worker == null
-        if (!isAssignable || assignment.run.number <= task.run) return false
-        task.run = assignment.run.number
-        task.worker = assignment.worker
+        if (!job.assign(assignment.run, assignment.worker)) return false
+        updateStartable(job)
         runsByWorker.getOrPut(assignment.worker) { LinkedHashMap() }[id] = assignment.run.number
         if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
         return true
@@ -163,73 +175,40 @@
         val job = jobs[id.job] ?: return
         val task = job.task(id) ?: return
         if (end.ending.showsStart || end.checkpoint.isNotEmpty()) markStarted(job)
-        if (end.checkpoint.isNotEmpty()) storeCheckpoint(job, id, end.checkpoint)
+        if (end.checkpoint.isNotEmpty()) job.storeCheckpoint(id, end.checkpoint)
         // A worker that was given up may list an end as done before the task is started again: then it needs no other run.
         if (end.run.number != task.run || (task.worker == null && end.ending != RunOutcome.DONE)) return
-        clearWorker(id, task)
+        release(job, id)
         val spec = job.request.steps[id.step]
         when (end.ending) {
-            RunOutcome.DONE -> if (!spec.lasting) markDone(job, id)
+            RunOutcome.DONE -> if (!spec.lasting) job.markDone(id)
             RunOutcome.FAILED -> recordFailure(job, id, atMillis)
             else -> Unit
         }
+        updateStartable(job)
         retireIfInactive(job)
-        if (!job.phase.isFinal && job.steps.all { it.isDone }) finish(job, JobPhase.COMPLETED, atMillis)
+        if (!job.phase.isFinal && job.isDone) finish(job, JobPhase.COMPLETED, atMillis)
     }
 
-    private fun storeCheckpoint(
+    private fun release(
         job: Job,
         id: TaskId,
-        checkpoint: String,
-    ) {
-        val step = job.steps.getOrNull(id.step) ?: return
-        if (job.request.steps[id.step].gang) {
-            step.tasks.forEach { it.checkpoint = checkpoint }
-        } else {
-            step.tasks[id.index].checkpoint =
-                checkpoint
-        }
-    }
-
-    private fun clearWorker(
-        id: TaskId,
-        task: Task,
     ) {
-        val worker = task.worker ?: return
-        task.worker = null
+        val worker = job.release(id) ?: return
         val workerRuns = runsByWorker[worker] ?: return
         workerRuns.remove(id)
         if (workerRuns.isEmpty()) runsByWorker.remove(worker)
     }
 
-    private fun markDone(
-        job: Job,
-        id: TaskId,
-    ) {
-        val step = job.steps[id.step]
-        val members = if (job.request.steps[id.step].gang) step.tasks else listOf(step.tasks[id.index])
-        members.filter { !it.done }.forEach {
-            it.done = true
-            step.left--
-        }
-    }
-
     private fun recordFailure(
         job: Job,
         id: TaskId,
         atMillis: Long,
     ) {
-        val spec = job.request.steps[id.step]
-        val tasks = job.steps[id.step].tasks
-        val failedTask = tasks[id.index]
-        val members = if (spec.gang) tasks else listOf(failedTask)
-        // Several members of a gang may fail in the same run; that counts as one attempt.
-        if (members.any { it.failedRun == failedTask.run }) return
-        val failures = members.maxOf { it.failures } + 1
-        members.forEach { it.failures = failures }
-        failedTask.failedRun = failedTask.run
+        val failures = job.countFailure(id) ?: return
+        val isLimited = !job.request.steps[id.step].lasting && job.task(id)?.done == false
         val attemptLimit = configuration?.queue(job.request.queue)?.maxAttempts ?: Int.MAX_VALUE
-        if (failures >= attemptLimit && !job.phase.isFinal && !spec.lasting && !failedTask.done) finish(job, JobPhase.FAILED, atMillis)
+        if (failures >= attemptLimit && !job.phase.isFinal && isLimited) finish(job, JobPhase.FAILED, atMillis)
     }
 
     private fun recordCrash(
@@ -239,9 +218,7 @@
         val job = jobs[run.task.job]
         val task = job?.task(run.task)
         if (job == null || task == null || task.done || job.phase.isFinal) return@forEach
-        val record = task.crashRecord ?: CrashRecord().also { task.crashRecord = it }
-        record.add(crash, run)
-        if (record.isOverLimit) finish(job, JobPhase.FAILED, atMillis)
+        if (job.countCrash(crash, run)) finish(job, JobPhase.FAILED, atMillis)
     }
 
     /** Encodes the whole state for [restore]. */
@@ -255,14 +232,18 @@
         drained.addAll(image.drained)
         jobs.clear()
         liveJobIds.clear()
+        startable.clear()
         pendingCounts.clear()
         runsByWorker.clear()
         image.jobs.forEach { indexJob(it) }
     }
 
     private fun indexJob(job: Job) {
+        job.normaliseGangs()
+        job.sequence = ++lastSequence
         jobs[job.id] = job
-        if (!job.phase.isFinal || job.mayHaveActiveRuns()) liveJobIds.add(job.id)
+        if (!job.phase.isFinal || job.mayHaveActiveRuns) liveJobIds.add(job.id)
+        updateStartable(job)
         if (job.hasStartedTask()) job.started = true
         if (job.isPending) pendingCounts.merge(job.request.queue, 1, Int::plus)
         job.steps.forEachIndexed { stepIndex, step ->
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeDriver.kt
@@ -97,6 +97,8 @@
     /** Metrics of this process. */
     val metrics = NodeMetrics { log.droppedLines }
 
+    private val turns = TurnMonitor(self.address, metrics::recordTurn, ::recordEvent)
+
     /** Last health reported by the node, updated on each tick. */
     @Volatile
     var health = NodeHealth(false, null, 0, 0, null)
@@ -190,11 +192,13 @@
             try {
                 // Compared after the events have arrived: what arrived before a suspension may be answered as of then.
                 clockStep()?.let { batch.add(0, it) }
+                val startedAt = System.nanoTime()
                 val now = clock.millis()
                 val effects = node.handle(batch, now)
                 if (NodeEvent.Tick in batch) updateHealth(node.health(now))
                 tickMillis = node.tickMillis
                 applyEffects(effects)
+                turns.turnEnded(System.nanoTime() - startedAt, batch, effects.size, health.gauges)
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Throwable) {
--- a/flowd/src/main/kotlin/rhubarbknot/flowd/NodeMetrics.kt
+++ b/flowd/src/main/kotlin/rhubarbknot/flowd/NodeMetrics.kt
@@ -28,6 +28,7 @@
     private val timers = ConcurrentHashMap<LoggedEvent, Timer>()
     private val requestTimers = ConcurrentHashMap<String, Timer>()
     private val syncTimer = timer("rhubarbknot.log.sync")
+    private val turnTimer = timer("rhubarbknot.control.turn")
 
     @Volatile
     private var gauges = emptyMap<String, Long>()
@@ -59,6 +60,9 @@
     /** Records a write and sync to disk that took [nanos] nanoseconds. */
     fun recordSync(nanos: Long) = syncTimer.record(Duration.ofNanos(nanos))
 
+    /** Records a turn of the control thread that took [nanos] nanoseconds. */
+    fun recordTurn(nanos: Long) = turnTimer.record(Duration.ofNanos(nanos))
+
     /** Updates the gauges from [health] and registers those that are new. */
     fun updateGauges(health: NodeHealth) {
         val updated =
