Gangs reserve room only where the workers can hold them, and for a known time

Accepted jobs stayed queued for 74 s on idle workers. A gang that no set of workers can hold because of its spread limit reserved them all at each plan: the reservation looked at the workers' resources alone, placing looks at all constraints. Change: StepFit answers for both what fits, with accelerators, spread limit and limits on starts. A reservation needs workers that can hold the gang beside their lasting runs, and carries the expected time of its start; tasks that end before it may use the room (EASY backfilling). The same for the reservation of a team's ceiling and for workers held for a suspect gang.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/EligibilityTracker.kt
@@ -74,6 +74,9 @@
     /** Workers that have a ticket for [step], whether it is still valid or has expired. */
     fun allowed(step: StepKey): Set<WorkerIncarnation> = steps[step]?.tickets?.keys.orEmpty()
 
+    /** Whether the service has been asked about any worker for [step]. */
+    fun isAsked(step: StepKey): Boolean = steps[step]?.asked?.isNotEmpty() == true
+
     /** Drops the ticket for [step] that [worker] rejected, so that the service is asked about the worker again. */
     fun invalidateTicket(
         step: StepKey,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/FreeCapacity.kt
@@ -2,16 +2,21 @@
 
 import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.model.StepSpec
+import java.util.PriorityQueue
 
 /**
- * Free resources of each worker of a pool during one turn of a plan.
+ * Free resources of each worker of a pool during one turn of a plan, and the reservations for gangs.
+ *
+ * Reservations work as in EASY backfilling: a gang that waits for room reserves it on workers that can hold it, with the time at which
+ * the runs there are expected to have ended. Other tasks may use the room meanwhile if they are expected to end before.
  *
  * @param reservations what earlier steps of the plan have reserved.
  */
 internal class FreeCapacity(
     val workers: List<WorkerRecord>,
     private val reservations: Reservations,
-    now: Long,
+    private val ends: RunEndEstimator,
+    private val now: Long,
 ) {
     private val free = LinkedHashMap<WorkerRecord, Resources>(workers.size * 2)
     private val startsLeft = HashMap<WorkerRecord, Int>()
@@ -24,7 +29,7 @@
 
     init {
         workers.forEach { worker ->
-            free[worker] = reservations.resources[worker]?.let { worker.free - it } ?: worker.free
+            free[worker] = worker.free
             worker.trust
                 .startsAllowed(worker, now)
                 .takeIf { it < Int.MAX_VALUE }
@@ -32,8 +37,17 @@
         }
     }
 
-    /** Resources on [worker] that are neither used nor reserved; below 0 where a reservation waits for runs to end. */
-    fun of(worker: WorkerRecord): Resources = free.getValue(worker)
+    /**
+     * Resources on [worker] that are not used, and not reserved before [endsBy], when the task that may get them will have ended; below
+     * 0 where a reservation waits for runs to end.
+     */
+    fun of(
+        worker: WorkerRecord,
+        endsBy: Long = Long.MAX_VALUE,
+    ): Resources {
+        val unused = free.getValue(worker)
+        return if (reservations.isEmpty) unused else unused - reservations.before(worker, endsBy)
+    }
 
     /** How many more runs may be started on [worker], regardless of its free resources. */
     fun startsLeft(worker: WorkerRecord): Int = startsLeft[worker] ?: Int.MAX_VALUE
@@ -43,40 +57,56 @@
         worker: WorkerRecord,
         demand: Resources,
     ) {
-        free[worker] = of(worker) - demand
+        free[worker] = free.getValue(worker) - demand
         startsLeft.computeIfPresent(worker) { _, count -> count - 1 }
     }
 
     /**
-     * Reserves resources for every task of [gang] on the [allowed] workers with the most free CPU, even if the resources
-     * are still in use. Does nothing when the workers can't hold the gang or the limit on reservations would be exceeded.
+     * Reserves resources for every task of [gang], which fits as [fit] says, on the [allowed] workers with the most free CPU, even if
+     * the resources are still in use. Does nothing when the workers can't hold the gang, so that the reservation would never be met, or
+     * when the limit on reservations would be exceeded.
      */
     fun reserve(
         allowed: List<WorkerRecord>,
         gang: StepSpec,
+        fit: StepFit,
     ) {
         val milliCpus = gang.demand.milliCpus.toLong() * gang.count
         // The first gang may exceed the limit; otherwise a large gang would wait forever.
         if (reservations.milliCpus > 0 && reservations.milliCpus + milliCpus > reservableMilliCpus) return
-        val remaining = LinkedHashMap<WorkerRecord, Resources>()
-        val total = HashMap<WorkerRecord, Resources>()
-        allowed.forEach {
-            remaining[it] = of(it)
-            total[it] = it.capacity
+        val targets = chooseTargets(allowed, gang, fit) ?: return
+        val startsAt = targets.maxOf { (worker, tasks) -> ends.availableAt(worker, gang.demand * tasks, now) }
+        targets.forEach { (worker, tasks) -> reservations.add(worker, gang.demand * tasks, startsAt) }
+    }
+
+    private class Target(
+        val worker: WorkerRecord,
+        var remaining: Resources,
+        var slots: Int,
+    ) {
+        var tasks = 0
+    }
+
+    /** Returns the number of tasks of [gang] for each of the chosen workers; null if the [allowed] ones can't hold all of them. */
+    private fun chooseTargets(
+        allowed: List<WorkerRecord>,
+        gang: StepSpec,
+        fit: StepFit,
+    ): Map<WorkerRecord, Int>? {
+        val candidates = PriorityQueue(compareByDescending<Target> { it.remaining.milliCpus }.thenBy { it.worker.incarnation.id })
+        allowed.forEach { worker ->
+            val slots = fit.wholeSlots(worker)
+            if (slots > 0) candidates += Target(worker, of(worker), slots)
         }
-        val targets = ArrayList<WorkerRecord>(gang.count)
+        val chosen = LinkedHashMap<WorkerRecord, Int>()
         repeat(gang.count) {
-            val target = remaining.keys.filter { gang.demand.fitsIn(total.getValue(it)) }.maxByOrNull { remaining.getValue(it).milliCpus }
-            if (target == null) return
-            remaining[target] = remaining.getValue(target) - gang.demand
-            total[target] = total.getValue(target) - gang.demand
-            targets += target
-        }
-        reservations.milliCpus += milliCpus
-        targets.forEach {
-            free[it] = of(it) - gang.demand
-            reservations.resources.merge(it, gang.demand, Resources::plus)
+            val best = candidates.poll() ?: return null
+            best.remaining -= gang.demand
+            best.tasks++
+            chosen[best.worker] = best.tasks
+            if (best.tasks < best.slots) candidates += best
         }
+        return chosen
     }
 
     private companion object {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -20,6 +20,7 @@
     private val queue: WorkQueue,
     private val placer: StepPlacer,
     private val runs: RunTracker,
+    private val ends: RunEndEstimator,
     private val usage: TeamUsage,
     private val effects: EffectBuffer,
 ) {
@@ -68,12 +69,14 @@
     ): List<PlannedRun> {
         if (pass.steps.isEmpty()) return emptyList()
         val pools =
-            usableWorkers().groupBy { it.report?.pool }.mapValues { (pool, workers) -> FreeCapacity(workers, pass.reservations(pool), now) }
+            usableWorkers()
+                .groupBy { it.report?.pool }
+                .mapValues { (pool, workers) -> FreeCapacity(workers, pass.reservations(pool), ends, now) }
         val placed = ArrayList<PlannedRun>()
         while (!budget.isSpent && placed.size < MAX_RUNS) {
             val step = pass.steps.poll() ?: break
             if (step.waitingCount <= 0) continue
-            val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), pass.reservations(step.queue.pool), now)
+            val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), pass.reservations(step.queue.pool), ends, now)
             budget.spend(1 + free.workers.size)
             val maxRuns = MAX_RUNS - placed.size
             when (val result = placer.place(step, pass.configuration, free, runs, now, maxRuns)) {
@@ -112,8 +115,8 @@
     ) {
         when (reason) {
             WaitReason.NO_ROOM, WaitReason.NO_ELIGIBLE_ROOM, WaitReason.ELIGIBILITY_ASKED, WaitReason.START_ISOLATED ->
-                placer.reserve(step, configuration, free, now)
-            WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, configuration)
+                placer.reserve(step, configuration, free, runs, now)
+            WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, configuration, free, runs, now)
             WaitReason.GANG_STILL_ENDING, WaitReason.NO_ABLE_WORKER -> Unit
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/PlanningPass.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/PlanningPass.kt
@@ -1,6 +1,5 @@
 package rhubarbknot.flow.dispatch
 
-import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.model.Configuration
 import rhubarbknot.flow.model.Queue
 import java.util.PriorityQueue
@@ -29,18 +28,6 @@
     fun reservations(pool: String?): Reservations = reservations.getOrPut(pool) { Reservations() }
 }
 
-/** Resources and workers that later steps of a [PlanningPass] must leave to earlier ones. */
-internal class Reservations {
-    /** Resources reserved for gangs, in use or not. */
-    val resources = HashMap<WorkerRecord, Resources>()
-
-    /** CPU reserved so far, in thousandths of a core. */
-    var milliCpus = 0L
-
-    /** Jobs for which workers take no starts of other jobs. */
-    val heldFor = HashMap<WorkerRecord, String>()
-}
-
 /** Limits the operations of one turn of the control thread. An operation is about the check of one worker for one step. */
 internal class OperationBudget(
     private val limit: Int,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/RunTracker.kt
@@ -54,7 +54,7 @@
         byStep.getOrPut(StepKey(job.id, run.task.step)) { StepRuns() }.add(record)
         byJob.getOrPut(job.id) { LinkedHashSet() }.add(record)
         worker.add(record)
-        usage.add(record.team, record.demand)
+        usage.add(record.team, record.demand, record.spec.lasting)
         if (job.phase.isFinal) record.stopWanted = true
     }
 
@@ -81,7 +81,7 @@
             if (jobRuns.isEmpty()) byJob.remove(record.run.task.job)
         }
         record.worker.remove(record)
-        usage.remove(record.team, record.demand)
+        usage.remove(record.team, record.demand, record.spec.lasting)
         removals++
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -3,7 +3,6 @@
 import rhubarbknot.core.model.Resources
 import rhubarbknot.flow.model.Configuration
 import rhubarbknot.flow.model.RunId
-import rhubarbknot.flow.model.StepSpec
 import rhubarbknot.flow.state.Assignment
 
 /** Why a ready step is not started. */
@@ -66,11 +65,12 @@
         if (!fitsCeiling(usage.of(step.team) + minDemand, ceiling)) return PlacementResult.NotPlaced(WaitReason.TEAM_AT_CEILING)
         val candidates = findCandidates(step, free, now)
         if (candidates.isEmpty()) return PlacementResult.NotPlaced(WaitReason.NO_ABLE_WORKER)
-        if (step.queue.eligibility == null) return assignTasks(step, candidates, free, ceiling, null, runs, now, maxRuns)
-        val ticketLookup = lookUpTickets(step, candidates, free, now)
+        val fit = StepFit(step, free, runs, now)
+        if (step.queue.eligibility == null) return assignTasks(step, candidates, free, fit, ceiling, null, now, maxRuns)
+        val ticketLookup = lookUpTickets(step, candidates, fit, now)
         if (ticketLookup is TicketLookup.Missing) return PlacementResult.NotPlaced(ticketLookup.reason)
         val tickets = (ticketLookup as TicketLookup.Valid).tickets
-        return assignTasks(step, candidates.filter { it in tickets }, free, ceiling, tickets, runs, now, maxRuns)
+        return assignTasks(step, candidates.filter { it in tickets }, free, fit, ceiling, tickets, now, maxRuns)
     }
 
     /**
@@ -81,29 +81,41 @@
         step: WaitingStep,
         configuration: Configuration,
         free: FreeCapacity,
+        runs: RunTracker,
         now: Long,
     ) {
         val spec = step.spec
         if (!fitsCeiling(usage.of(step.team) + spec.demand * spec.count, ceilingOf(step, configuration))) return
-        val candidates = findCandidates(step, free, now)
-        val allowed =
-            if (step.queue.eligibility ==
-                null
-            ) {
-                candidates
-            } else {
-                eligibility.allowed(step.key).let { withTicket -> candidates.filter { it.incarnation in withTicket } }
-            }
-        free.reserve(allowed, spec)
+        free.reserve(withTickets(step, findCandidates(step, free, now)), spec, StepFit(step, free, runs, now))
     }
 
-    /** Reserves the team's ceiling for the gang [step], so that later steps of the team do not use it up. */
+    /**
+     * Reserves the team's ceiling for the gang [step], so that later steps of the team do not use it up. Does nothing if the ceiling or
+     * the workers can't hold the gang, however many runs end.
+     */
     fun reserveCeiling(
         step: WaitingStep,
         configuration: Configuration,
+        free: FreeCapacity,
+        runs: RunTracker,
+        now: Long,
     ) {
         val totalDemand = step.spec.demand * step.spec.count
-        if (fitsCeiling(totalDemand, ceilingOf(step, configuration))) usage.reserve(step.team, totalDemand)
+        if (!fitsCeiling(usage.ofLasting(step.team) + totalDemand, ceilingOf(step, configuration))) return
+        val candidates = findCandidates(step, free, now)
+        // Which workers may run the step is asked only once its team is below the ceiling.
+        val allowed = if (eligibility.isAsked(step.key)) withTickets(step, candidates) else candidates
+        if (StepFit(step, free, runs, now).canHoldAll(allowed)) usage.reserve(step.team, totalDemand)
+    }
+
+    /** Those of [candidates] that have a ticket for [step], valid or expired; all of them if it needs none. */
+    private fun withTickets(
+        step: WaitingStep,
+        candidates: List<WorkerRecord>,
+    ): List<WorkerRecord> {
+        if (step.queue.eligibility == null) return candidates
+        val withTicket = eligibility.allowed(step.key)
+        return candidates.filter { it.incarnation in withTicket }
     }
 
     private fun ceilingOf(
@@ -128,7 +140,7 @@
     private fun lookUpTickets(
         step: WaitingStep,
         candidates: List<WorkerRecord>,
-        free: FreeCapacity,
+        fit: StepFit,
         now: Long,
     ): TicketLookup {
         val record = eligibility.track(step.key, checkNotNull(step.queue.eligibility), step.queue.priority)
@@ -136,21 +148,21 @@
         if (record.asked.isEmpty()) {
             eligibility.ask(
                 step.key,
-                candidates.sortedByDescending { free.of(it).milliCpus }.take(MAX_WORKERS_PER_REQUEST).map { it.incarnation },
+                candidates.sortedByDescending { fit.available(it).milliCpus }.take(MAX_WORKERS_PER_REQUEST).map { it.incarnation },
             )
             return TicketLookup.Missing(WaitReason.ELIGIBILITY_ASKED)
         }
-        val withCapacity = candidates.filter { step.spec.demand.fitsIn(free.of(it)) }
+        val withCapacity = candidates.filter { fit.slots(it) > 0 }
         val valid = LinkedHashMap<WorkerRecord, Ticket>()
         withCapacity.forEach { worker -> record.valid(worker.incarnation, now)?.let { valid[worker] = it } }
         val neededSlots = if (step.spec.gang) step.spec.count else 1
-        if (valid.keys.sumOf { slotsOn(it, step, free) } >= neededSlots) return TicketLookup.Valid(valid)
+        if (valid.keys.sumOf { fit.slots(it) } >= neededSlots) return TicketLookup.Valid(valid)
         val toAsk =
             (
                 valid.keys +
                     withCapacity.filter { it !in valid && (it.incarnation in record.tickets || it.incarnation !in record.asked) }
             ).take(MAX_WORKERS_PER_REQUEST)
-        val reachableSlots = toAsk.sumOf { slotsOn(it, step, free) }
+        val reachableSlots = toAsk.sumOf { fit.slots(it) }
         if (toAsk.size <= valid.size || reachableSlots < neededSlots) return TicketLookup.Missing(WaitReason.NO_ELIGIBLE_ROOM)
         eligibility.ask(step.key, toAsk.map { it.incarnation })
         return TicketLookup.Missing(WaitReason.ELIGIBILITY_ASKED)
@@ -166,48 +178,31 @@
         ) : TicketLookup
     }
 
-    private fun slotsOn(
-        worker: WorkerRecord,
-        step: WaitingStep,
-        free: FreeCapacity,
-    ): Int = slots(free.of(worker), step.spec)
-
-    /** How many tasks of [spec] fit into [available]. */
-    private fun slots(
-        available: Resources,
-        spec: StepSpec,
-    ): Int {
-        val byCpu = if (spec.demand.milliCpus > 0) available.milliCpus / spec.demand.milliCpus else spec.count
-        val byMemory = if (spec.demand.memoryMb > 0) available.memoryMb / spec.demand.memoryMb else spec.count
-        val byResources = maxOf(0, minOf(byCpu, byMemory, spec.count))
-        return if (spec.spreadLimit > 0) minOf(byResources, spec.spreadLimit) else byResources
-    }
-
     /** For a rack-local step, the [eligibleWorkers] of the tightest rack that holds all waiting tasks; otherwise all of them. */
     private fun preferSingleRack(
         step: WaitingStep,
         eligibleWorkers: List<WorkerRecord>,
-        free: FreeCapacity,
+        fit: StepFit,
     ): List<WorkerRecord> {
         if (!step.spec.rackLocal) return eligibleWorkers
         val racks = eligibleWorkers.groupBy { it.report?.rack }.values
-        val fittingRacks = racks.filter { rack -> rack.sumOf { slotsOn(it, step, free) } >= step.waitingCount }
-        return fittingRacks.minByOrNull { rack -> rack.sumOf { free.of(it).milliCpus } } ?: eligibleWorkers
+        val fittingRacks = racks.filter { rack -> rack.sumOf { fit.slots(it) } >= step.waitingCount }
+        return fittingRacks.minByOrNull { rack -> rack.sumOf { fit.available(it).milliCpus } } ?: eligibleWorkers
     }
 
     private fun assignTasks(
         step: WaitingStep,
         eligibleWorkers: List<WorkerRecord>,
         free: FreeCapacity,
+        fit: StepFit,
         ceiling: Resources,
         tickets: Map<WorkerRecord, Ticket>?,
-        runs: RunTracker,
         now: Long,
         maxRuns: Int,
     ): PlacementResult {
         val spec = step.spec
         val startable = eligibleWorkers.filter { free.isolation.allows(it, step) }
-        val taskSlots = TaskSlots(step, preferSingleRack(step, startable, free), free, runs)
+        val taskSlots = TaskSlots(step, preferSingleRack(step, startable, fit), fit)
         val planned = ArrayList<PlannedRun>()
         var teamUsage = usage.of(step.team)
         val gangRun = if (spec.gang) step.tasks.maxOf { it.run } + 1 else 0
@@ -224,7 +219,7 @@
         return if (planned.isEmpty() ||
             (spec.gang && planned.size < spec.count)
         ) {
-            PlacementResult.NotPlaced(reasonNotPlaced(step, eligibleWorkers, startable, free))
+            PlacementResult.NotPlaced(reasonNotPlaced(step, eligibleWorkers, startable, free, fit))
         } else {
             planned.forEach { free.isolation.place(it.worker, step) }
             PlacementResult.Placed(planned)
@@ -237,12 +232,15 @@
         eligibleWorkers: List<WorkerRecord>,
         startable: List<WorkerRecord>,
         free: FreeCapacity,
+        fit: StepFit,
     ): WaitReason {
         if (startable.size == eligibleWorkers.size) return WaitReason.NO_ROOM
         val isolated = eligibleWorkers - startable.toSet()
-        val withCapacity = isolated.filter { step.spec.demand.fitsIn(free.of(it)) }
+        val withCapacity = isolated.filter { fit.slots(it) > 0 }
         if (withCapacity.isEmpty()) return WaitReason.NO_ROOM
-        if (step.isSuspect) free.isolation.hold(withCapacity, step, if (step.spec.gang) step.spec.count else 1)
+        // A gang that the workers can't hold would keep them from other jobs for nothing.
+        val isHolding = step.isSuspect && (!step.spec.gang || fit.canHoldAll(eligibleWorkers))
+        if (isHolding) free.isolation.hold(withCapacity, step, if (step.spec.gang) step.spec.count else 1)
         return WaitReason.START_ISOLATED
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/TaskSlots.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/TaskSlots.kt
@@ -7,8 +7,7 @@
 internal class TaskSlots(
     private val step: WaitingStep,
     eligibleWorkers: List<WorkerRecord>,
-    free: FreeCapacity,
-    runs: RunTracker,
+    fit: StepFit,
 ) {
     private class WorkerSlots(
         val worker: WorkerRecord,
@@ -21,15 +20,8 @@
     private val slots = PriorityQueue(if (step.isSuspect) suspectOrder else order)
 
     init {
-        // Uncommitted runs count against the spread limit as well.
-        val stepRuns = if (step.spec.spreadLimit > 0) runs.ofStep(step.key) else null
         eligibleWorkers.forEach { worker ->
-            val bySpread =
-                if (step.spec.spreadLimit > 0) step.spec.spreadLimit - (stepRuns?.countOn(worker.incarnation.id) ?: 0) else Int.MAX_VALUE
-            val allowedStarts = minOf(bySpread, free.startsLeft(worker))
-            if (allowedStarts > 0 && demand.fitsIn(free.of(worker))) {
-                slots += WorkerSlots(worker, free.of(worker), allowedStarts, isNearData(worker))
-            }
+            if (fit.slots(worker) > 0) slots += WorkerSlots(worker, fit.available(worker), fit.allowedStarts(worker), isNearData(worker))
         }
     }
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WaitingStep.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WaitingStep.kt
@@ -9,6 +9,7 @@
 /**
  * A step with tasks that wait to be started, as found when the steps were collected. Which tasks wait is looked up when it is asked for.
  *
+ * @property expectedMillis expected duration of one of its tasks.
  * @property latestStart latest start with which the job is expected to meet its objective.
  * @property readyAt when the step was first found ready.
  */
@@ -17,6 +18,7 @@
     val queue: Queue,
     val index: Int,
     private val runs: RunTracker,
+    val expectedMillis: Long,
     val tier: Tier,
     val latestStart: Long,
     val readyAt: Long,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -65,7 +65,8 @@
                 val timing = timings.getOrPut(job.id) { computeTiming(job, queue, budget) }
                 val tier = if (job.id in beyondShare) maxOf(Tier.BEYOND_SHARE, timing.tier(index, now)) else timing.tier(index, now)
                 val readyAt = timing.readyAt(index, now)
-                pass.steps += WaitingStep(job, queue, index, runs, tier, timing.latestStart(index), readyAt)
+                val expected = durations.expectedMillis(queue.name, job.request.steps[index])
+                pass.steps += WaitingStep(job, queue, index, runs, expected, tier, timing.latestStart(index), readyAt)
             }
             index = job.nextStartableStep(index + 1)
         }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkerRecord.kt
@@ -20,6 +20,10 @@
     val runs = LinkedHashMap<TaskId, RunRecord>()
     var used = Resources.NONE
         private set
+
+    /** The part of [used] that lasting runs use, which they keep until their jobs are cancelled. */
+    var usedByLasting = Resources.NONE
+        private set
     private val startingRuns = LinkedHashSet<RunRecord>()
 
     /** Runs whose start the worker has not yet survived. */
@@ -87,6 +91,7 @@
         runs[run.run.task] = run
         if (!run.survivedStart) startingRuns += run
         used += run.demand
+        if (run.spec.lasting) usedByLasting += run.demand
     }
 
     fun remove(run: RunRecord) {
@@ -94,6 +99,7 @@
         runs.remove(run.run.task)
         startingRuns -= run
         used -= run.demand
+        if (run.spec.lasting) usedByLasting -= run.demand
     }
 
     /** Records that the worker, which has just listed its runs, has survived the starts that it confirmed by [confirmedUntil]. */
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
@@ -36,6 +36,9 @@
         private set
     private val refused = HashSet<String>()
     private val queues = HashMap<String, String>()
+
+    /** Gangs that the workers can't hold; they wait for ever and must not keep other jobs from running. */
+    private val hopeless = HashSet<String>()
     private val attempts = HashMap<String, Int>()
     private var jobCount = 0
     private var lastVersion = 0L
@@ -103,9 +106,33 @@
                     spreadLimit = random.nextInt(3),
                 )
             }
+        submitNew(id, steps)
+        if (random.nextInt(HOPELESS_JOB_PERIOD) == 0) submitHopelessGang()
+    }
+
+    private fun submitHopelessGang() {
+        val id = "gang-${++jobCount}"
+        hopeless += id
+        val random = cluster.random
+        val gang = StepSpec(HOPELESS_COUNT, Resources(milliCpus = 900, memoryMb = 100), 400, gang = true)
+        val step =
+            when (random.nextInt(4)) {
+                0 -> gang.copy(spreadLimit = 1)
+                1 -> gang.copy(demand = Resources(milliCpus = 900, accelerators = 1))
+                2 -> gang.copy(label = "unknown")
+                else -> gang.copy(demand = Resources(milliCpus = 10, memoryMb = 10_000))
+            }
+        submitNew(id, listOf(step))
+    }
+
+    private fun submitNew(
+        id: String,
+        steps: List<StepSpec>,
+    ) {
+        val random = cluster.random
         val queue = if (random.nextBoolean()) "urgent" else "later"
         queues[id] = queue
-        if (crashingJobPeriod > 0 && random.nextInt(crashingJobPeriod) == 0) cluster.oracle.addCrashingJob(id)
+        if (crashingJobPeriod > 0 && id !in hopeless && random.nextInt(crashingJobPeriod) == 0) cluster.oracle.addCrashingJob(id)
         cluster.oracle.jobSubmitted(JobRequest(id, queue, "team", "payload", steps))
         val isSingleAttempt = random.nextInt(8) == 0
         submitJob(id, FlowRequest.Submit(RequestTarget("host", "/$queue/$id", "key"), "payload", steps), isSingleAttempt)
@@ -159,7 +186,9 @@
 
     /** Checks the invariants that hold once the cluster has recovered and all jobs had time to finish. */
     fun checkFinalState() {
-        val (crashing, sound) = accepted.partition { cluster.oracle.isCrashingJob(it) }
+        val (waiting, others) = accepted.partition { it in hopeless }
+        waiting.filter { phases[it] != JobPhase.QUEUED }.forEach { violations += "$it is ${phases[it]}, but no workers can hold it" }
+        val (crashing, sound) = others.partition { cluster.oracle.isCrashingJob(it) }
         crashing.filter { phases[it] != JobPhase.FAILED }.forEach { violations += "LOST $it is ${phases[it]}, but crashes its workers" }
         sound.filter { phases[it] != JobPhase.COMPLETED }.forEach { id ->
             val crashes = cluster.oracle.crashesUnderJob(id)
@@ -179,10 +208,17 @@
 
     private fun checkNothingPending(queue: String) =
         cluster.ask(cluster.gateways.first(), FlowRequest.Ask(RequestTarget("host", "/$queue/", "key"))) { answer ->
-            if (answer != FlowAnswer.QueueIs(0)) violations += "PENDING $queue has $answer after all jobs have finished"
+            val waiting = accepted.count { it in hopeless && queues[it] == queue }
+            if (answer != FlowAnswer.QueueIs(waiting)) violations += "PENDING $queue has $answer, but $waiting jobs wait"
         }
 
     private companion object {
         const val RETRY_MILLIS = 250L
+
+        /** One gang that the workers can't hold comes with this many jobs. */
+        const val HOPELESS_JOB_PERIOD = 30
+
+        /** More than there are workers. */
+        const val HOPELESS_COUNT = 13
     }
 }
