Accepted jobs keep their queue and team through changes of the configuration

Jobs of a renamed or removed route were running for ever with all workers idle: pool, priority, objective, eligibility and limit of attempts were looked up by name in the configuration in force each time, and a job without an entry was skipped. Change: AcceptedQueue keeps the settings of each queue with unfinished jobs in the replicated state and follows it through renames and moves; RemovedTeams keeps the ceiling and weight of a removed team; a submission in the log carries its queue; pending counts go by place; reports of workers are taken while accepted jobs need their pool.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -34,7 +34,7 @@
         WorkerReplyHandler(state, settings, term, runs, workers, eligibility, ProgressMonitor(settings, durations, runs, effects), effects)
     private val appliedCommands = AppliedCommandHandler(state, settings, runs, workers, durations, failures, effects)
     private val queue = WorkQueue(state, durations)
-    private val planner = Planner(queue, StepPlacer(eligibility, usage, failures), runs, RunEndEstimator(durations), usage, effects)
+    private val planner = Planner(queue, StepPlacer(state, eligibility, usage, failures), runs, RunEndEstimator(durations), usage, effects)
     private var planDueAt = 0L
     private var sweepDueAt = 0L
     private var startedJobsDueAt = 0L
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/JobTiming.kt
@@ -84,7 +84,7 @@
         ): JobTiming {
             val steps = job.request.steps
             val eligibilityMillis = queue.eligibility?.let { (it.decideMillis + it.perWorkerMillis * WORKERS_PER_REQUEST).toLong() } ?: 0
-            val remainingMillis = remainingMillis(steps) { eligibilityMillis + durations.expectedMillis(queue.name, it) }
+            val remainingMillis = remainingMillis(steps) { eligibilityMillis + durations.expectedMillis(job.request.queue, it) }
             val stretchedMillis = (queue.slackFactor * (remainingMillis.maxOrNull() ?: 0)).toLong()
             val allowedMillis = minOf(stretchedMillis, MAX_ALLOWED_MILLIS) + minOf(queue.targetMillis, MAX_ALLOWED_MILLIS)
             return JobTiming(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -79,7 +79,7 @@
             val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), pass.reservations(step.queue.pool), ends, now)
             budget.spend(1 + free.workers.size)
             val maxRuns = MAX_RUNS - placed.size
-            when (val result = placer.place(step, pass.configuration, free, runs, now, maxRuns)) {
+            when (val result = placer.place(step, free, runs, now, maxRuns)) {
                 is PlacementResult.Placed -> {
                     loggedReasons.remove(step.key)
                     budget.spend(result.runs.size)
@@ -95,7 +95,7 @@
                     logWaitReason(step, result.reason, now)
                     if (step.spec.gang) {
                         budget.spend(step.spec.count)
-                        reserveForGang(step, result.reason, pass.configuration, free, now)
+                        reserveForGang(step, result.reason, free, now)
                     }
                 }
             }
@@ -109,14 +109,13 @@
     private fun reserveForGang(
         step: WaitingStep,
         reason: WaitReason,
-        configuration: Configuration,
         free: FreeCapacity,
         now: Long,
     ) {
         when (reason) {
             WaitReason.NO_ROOM, WaitReason.NO_ELIGIBLE_ROOM, WaitReason.ELIGIBILITY_ASKED, WaitReason.START_ISOLATED ->
-                placer.reserve(step, configuration, free, runs, now)
-            WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, configuration, free, runs, now)
+                placer.reserve(step, free, runs, now)
+            WaitReason.TEAM_AT_CEILING -> placer.reserveCeiling(step, free, runs, now)
             WaitReason.GANG_STILL_ENDING, WaitReason.NO_ABLE_WORKER -> Unit
         }
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/PlanningPass.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/PlanningPass.kt
@@ -1,7 +1,6 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.flow.model.Configuration
-import rhubarbknot.flow.model.Queue
 import java.util.PriorityQueue
 
 /**
@@ -11,8 +10,6 @@
 internal class PlanningPass(
     val configuration: Configuration,
 ) {
-    val queues: Map<String, Queue> = configuration.queues.associateBy { it.name }
-
     /** The collected steps that are still to be placed, in scheduling order. */
     val steps = PriorityQueue(WorkQueue.order)
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/StepPlacer.kt
@@ -1,9 +1,9 @@
 package rhubarbknot.flow.dispatch
 
 import rhubarbknot.core.model.Resources
-import rhubarbknot.flow.model.Configuration
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.state.Assignment
+import rhubarbknot.flow.state.FlowState
 
 /** Why a ready step is not started. */
 internal enum class WaitReason {
@@ -42,6 +42,7 @@
  * to workers with enough free resources once the step has been asked about.
  */
 internal class StepPlacer(
+    private val state: FlowState,
     private val eligibility: EligibilityTracker,
     private val usage: TeamUsage,
     private val failures: StepFailures,
@@ -52,7 +53,6 @@
      */
     fun place(
         step: WaitingStep,
-        configuration: Configuration,
         free: FreeCapacity,
         runs: RunTracker,
         now: Long,
@@ -60,7 +60,7 @@
     ): PlacementResult {
         val spec = step.spec
         if (spec.gang && step.waitingCount < spec.count) return PlacementResult.NotPlaced(WaitReason.GANG_STILL_ENDING)
-        val ceiling = ceilingOf(step, configuration)
+        val ceiling = ceilingOf(step)
         val minDemand = if (spec.gang) spec.demand * spec.count else spec.demand
         if (!fitsCeiling(usage.of(step.team) + minDemand, ceiling)) return PlacementResult.NotPlaced(WaitReason.TEAM_AT_CEILING)
         val candidates = findCandidates(step, free, now)
@@ -79,13 +79,12 @@
      */
     fun reserve(
         step: WaitingStep,
-        configuration: Configuration,
         free: FreeCapacity,
         runs: RunTracker,
         now: Long,
     ) {
         val spec = step.spec
-        if (!fitsCeiling(usage.of(step.team) + spec.demand * spec.count, ceilingOf(step, configuration))) return
+        if (!fitsCeiling(usage.of(step.team) + spec.demand * spec.count, ceilingOf(step))) return
         free.reserve(withTickets(step, findCandidates(step, free, now)), spec, StepFit(step, free, runs, now))
     }
 
@@ -95,13 +94,12 @@
      */
     fun reserveCeiling(
         step: WaitingStep,
-        configuration: Configuration,
         free: FreeCapacity,
         runs: RunTracker,
         now: Long,
     ) {
         val totalDemand = step.spec.demand * step.spec.count
-        if (!fitsCeiling(usage.ofLasting(step.team) + totalDemand, ceilingOf(step, configuration))) return
+        if (!fitsCeiling(usage.ofLasting(step.team) + totalDemand, ceilingOf(step))) return
         val candidates = findCandidates(step, free, now)
         // Which workers may run the step is asked only once its team is below the ceiling.
         val allowed = if (eligibility.isAsked(step.key)) withTickets(step, candidates) else candidates
@@ -118,10 +116,8 @@
         return candidates.filter { it.incarnation in withTicket }
     }
 
-    private fun ceilingOf(
-        step: WaitingStep,
-        configuration: Configuration,
-    ): Resources = configuration.team(step.team)?.ceiling ?: Resources.NONE
+    /** The ceiling of the step's team, which a team that was removed keeps. */
+    private fun ceilingOf(step: WaitingStep): Resources = state.team(step.team)?.ceiling ?: Resources.NONE
 
     /** Workers with the required label, without those on which the step failed shortly before unless no others remain. */
     private fun findCandidates(
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -23,7 +23,7 @@
         team: String,
         now: Long,
     ) {
-        val weight = state.configuration?.team(team)?.weight ?: return
+        val weight = state.team(team)?.weight ?: return
         if (rates.exceedsShare(team, weight, now)) beyondShare.add(id)
     }
 
@@ -45,7 +45,7 @@
             }
             pass.collectedUpTo = job.sequence
             budget.spend(1)
-            pass.queues[job.request.queue]?.let { collect(job, it, runs, now, pass, budget) }
+            job.queue?.let { collect(job, it, runs, now, pass, budget) }
         }
     }
 
@@ -65,7 +65,7 @@
                 val timing = timings.getOrPut(job.id) { computeTiming(job, queue, budget) }
                 val tier = if (job.id in beyondShare) maxOf(Tier.BEYOND_SHARE, timing.tier(index, now)) else timing.tier(index, now)
                 val readyAt = timing.readyAt(index, now)
-                val expected = durations.expectedMillis(queue.name, job.request.steps[index])
+                val expected = durations.expectedMillis(job.request.queue, job.request.steps[index])
                 pass.steps += WaitingStep(job, queue, index, runs, expected, tier, timing.latestStart(index), readyAt)
             }
             index = job.nextStartableStep(index + 1)
--- a/flow/src/main/kotlin/rhubarbknot/flow/model/Configuration.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/model/Configuration.kt
@@ -22,7 +22,28 @@
         queues.groupBy { HostNames.normalise(it.host) }.mapValues { (_, atHost) -> atHost.sortedByDescending { it.pathPrefix.length } }
     }
 
-    fun queue(name: String): Queue? = queues.firstOrNull { it.name == name }
+    private val queuesByName: Map<String, List<Queue>> by lazy { queues.groupBy { it.name } }
+    private val queuesByPlace: Map<QueuePlace, Queue> by lazy { queues.associateBy { it.place } }
+
+    fun queue(name: String): Queue? = queuesByName[name]?.first()
+
+    /**
+     * The queue that has taken over from [previous], a queue of an earlier configuration: the one with its name at its place; otherwise
+     * one to the same pool at its place (renamed) or with its name (moved); null for none. If [previous] [isRemoved], there was a
+     * configuration without it, so that only a queue to the same pool can be it.
+     */
+    fun successorOf(
+        previous: Queue,
+        isRemoved: Boolean,
+    ): Queue? {
+        fun isSamePool(queue: Queue) = previous.pool.isEmpty() || queue.pool == previous.pool
+        val atPlace = queuesByPlace[previous.place]
+        return when {
+            atPlace != null && atPlace.name == previous.name && !isRemoved -> atPlace
+            atPlace != null && isSamePool(atPlace) -> atPlace
+            else -> queuesByName[previous.name]?.firstOrNull { isSamePool(it) }
+        }
+    }
 
     fun pool(name: String): Pool? = pools.firstOrNull { it.name == name }
 
@@ -48,10 +69,16 @@
     private fun lowerAscii(char: Char) = if (char in 'A'..'Z') char.lowercaseChar() else char
 }
 
+/** Where a queue accepts jobs: at a normalised host and a path prefix. No two queues of a configuration share one. */
+data class QueuePlace(
+    val host: String,
+    val pathPrefix: String,
+)
+
 /**
  * A queue that accepts jobs at one endpoint.
  *
- * @property pool name of the pool whose workers run its tasks.
+ * @property pool name of the pool whose workers run its tasks; empty for a queue of which only the name is known.
  * @property priority 0 is the highest priority.
  * @property slackFactor factor applied to the length of a job's critical path to get its target duration.
  * @property targetMillis time added to that target duration.
@@ -72,7 +99,9 @@
     val timeoutMillis: Long = 0,
     val eligibility: EligibilitySettings? = null,
     val public: Boolean = false,
-)
+) {
+    val place: QueuePlace get() = QueuePlace(HostNames.normalise(host), pathPrefix)
+}
 
 /**
  * Time that one request to the eligibility service takes, and how long the tickets it issues stay valid.
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/ControlNode.kt
@@ -270,12 +270,14 @@
     }
 
     /**
-     * Whether [report] names a pool that is neither configured nor the known one of the worker with its id: then it was not sent by
-     * that worker and says nothing about it.
+     * Whether [report] names a pool that is neither configured, nor needed by an accepted job, nor the known one of the worker with its
+     * id: then it was not sent by that worker and says nothing about it.
      */
     private fun isForeign(report: WorkerReport): Boolean {
         val configuration = state.configuration ?: return false
-        return configuration.pool(report.pool) == null && workerReports.poolOf(report.life.id) != report.pool
+        return configuration.pool(report.pool) == null &&
+            !state.needsPool(report.pool) &&
+            workerReports.poolOf(report.life.id) != report.pool
     }
 
     private fun reportReceived(
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/LeaderRequestHandler.kt
@@ -60,7 +60,7 @@
             request.to.key
                 ?.let { configuration.teamOfKey(it)?.name }
                 .orEmpty()
-        return RequestDecision.Commit(FlowCommand.Submit(JobRequest(id, queue.name, team, request.payload, request.steps), now))
+        return RequestDecision.Commit(FlowCommand.Submit(JobRequest(id, queue.name, team, request.payload, request.steps), now, queue))
     }
 
     private fun areValidSteps(steps: List<StepSpec>): Boolean =
@@ -72,7 +72,7 @@
         queue: Queue,
         id: String,
     ): FlowAnswer {
-        if (id.isEmpty()) return FlowAnswer.QueueIs(state.pending(queue.name))
+        if (id.isEmpty()) return FlowAnswer.QueueIs(state.pending(queue))
         val job = state.job(id) ?: return FlowAnswer.Refused(Refusal.UNKNOWN_JOB)
         return FlowAnswer.JobIs(job.phase)
     }
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowCommand.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import rhubarbknot.flow.model.Configuration
 import rhubarbknot.flow.model.JobRequest
+import rhubarbknot.flow.model.Queue
 import rhubarbknot.flow.model.RunEnd
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.WorkerCrash
@@ -26,11 +27,17 @@
         val drained: Boolean,
     ) : FlowCommand
 
+    /**
+     * Accepts a job.
+     *
+     * @property queue the queue that accepted it; null in entries of earlier versions, whose queue is the one that the request names.
+     */
     @Serializable
     @SerialName("submit")
     data class Submit(
         val request: JobRequest,
         val atMillis: Long,
+        val queue: Queue? = null,
     ) : FlowCommand
 
     @Serializable
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/FlowState.kt
@@ -3,9 +3,11 @@
 import kotlinx.serialization.Serializable
 import rhubarbknot.core.model.Codec
 import rhubarbknot.flow.model.Configuration
+import rhubarbknot.flow.model.Queue
 import rhubarbknot.flow.model.RunEnd
 import rhubarbknot.flow.model.RunOutcome
 import rhubarbknot.flow.model.TaskId
+import rhubarbknot.flow.model.Team
 import rhubarbknot.flow.model.WorkerCrash
 import rhubarbknot.flow.model.WorkerIncarnation
 import java.util.TreeMap
@@ -41,7 +43,8 @@
     private val drained = TreeSet<String>()
     private val jobs = LinkedHashMap<String, Job>()
     private val liveJobIds = LinkedHashSet<String>()
-    private val pendingCounts = TreeMap<String, Int>()
+    private val acceptedQueues = AcceptedQueues()
+    private val removedTeams = RemovedTeams()
     private val startable = TreeMap<Long, Job>()
     private var lastSequence = 0L
     private val runsByWorker = HashMap<WorkerIncarnation, LinkedHashMap<TaskId, Int>>()
@@ -67,7 +70,13 @@
     fun job(id: String): Job? = jobs[id]
 
     /** Number of unfinished jobs in [queue] of which no run is known to have started. */
-    fun pending(queue: String): Int = pendingCounts[queue] ?: 0
+    fun pending(queue: Queue): Int = acceptedQueues.pending(queue)
+
+    /** The team [name] in force, or its last settings if it was removed. */
+    fun team(name: String): Team? = configuration?.team(name) ?: removedTeams[name]
+
+    /** Whether unfinished jobs need the workers of [pool], which the configuration in force need not name. */
+    fun needsPool(pool: String): Boolean = acceptedQueues.needPool(pool)
 
     /** Tasks of which a run may exist on [worker], with the run numbers. */
     fun runsOn(worker: WorkerIncarnation): Map<TaskId, Int> = runsByWorker[worker].orEmpty()
@@ -92,6 +101,8 @@
 
     private fun configure(next: Configuration): FlowOutcome {
         if (next.version <= (configuration?.version ?: Long.MIN_VALUE)) return FlowOutcome.Superseded
+        removedTeams.configured(configuration, next)
+        acceptedQueues.configured(next)
         configuration = next
         return FlowOutcome.Applied
     }
@@ -103,12 +114,33 @@
         val job = Job(request, command.atMillis, request.steps.map { step -> Step(List(step.count) { Task() }) })
         job.sequence = ++lastSequence
         jobs[request.id] = job
-        liveJobIds.add(request.id)
-        updateStartable(job)
-        pendingCounts.merge(request.queue, 1, Int::plus)
+        addLive(job, acceptedQueues.of(command.queue ?: queueNamed(request.queue), configuration))
         return FlowOutcome.Accepted
     }
 
+    /** The queue called [name] in force; if there is none, a queue of which only the name is known. */
+    private fun queueNamed(name: String): Queue = configuration?.queue(name) ?: Queue(name, host = "", pathPrefix = "", pool = "")
+
+    private fun addLive(
+        job: Job,
+        queue: AcceptedQueue,
+    ) {
+        job.accepted = queue
+        liveJobIds.add(job.id)
+        acceptedQueues.addJob(queue)
+        removedTeams.addJob(job.request.team)
+        if (job.isPending) queue.pending++
+        updateStartable(job)
+    }
+
+    private fun removeLive(job: Job) {
+        val queue = job.accepted ?: return
+        job.accepted = null
+        liveJobIds.remove(job.id)
+        acceptedQueues.removeJob(queue)
+        removedTeams.removeJob(job.request.team)
+    }
+
     private fun removeFinishedBefore(cutoffMillis: Long) {
         val jobIterator = jobs.values.iterator()
         while (jobIterator.hasNext()) {
@@ -148,12 +180,12 @@
     ) {
         val wasPending = job.isPending
         change()
-        if (wasPending && !job.isPending) pendingCounts.merge(job.request.queue, -1, Int::plus)
+        if (wasPending && !job.isPending) job.accepted?.let { it.pending-- }
     }
 
     private fun retireIfInactive(job: Job) {
         if (!job.phase.isFinal || job.mayHaveActiveRuns) return
-        liveJobIds.remove(job.id)
+        removeLive(job)
         job.retire()
     }
 
@@ -207,7 +239,7 @@
     ) {
         val failures = job.countFailure(id) ?: return
         val isLimited = !job.request.steps[id.step].lasting && job.task(id)?.done == false
-        val attemptLimit = configuration?.queue(job.request.queue)?.maxAttempts ?: Int.MAX_VALUE
+        val attemptLimit = job.queue?.maxAttempts ?: Int.MAX_VALUE
         if (failures >= attemptLimit && !job.phase.isFinal && isLimited) finish(job, JobPhase.FAILED, atMillis)
     }
 
@@ -222,7 +254,12 @@
     }
 
     /** Encodes the whole state for [restore]. */
-    fun snapshot(): ByteArray = Codec.encode(Image.serializer(), Image(configuration, drained.toList(), jobs.values.toList()))
+    fun snapshot(): ByteArray {
+        val queues = acceptedQueues.all
+        val positions = queues.withIndex().associate { (i, queue) -> queue to i }
+        jobs.values.forEach { job -> job.queueIndex = job.accepted?.let { positions.getValue(it) } ?: -1 }
+        return Codec.encode(Image.serializer(), Image(configuration, drained.toList(), jobs.values.toList(), queues, removedTeams.all))
+    }
 
     /** Replaces the state with the snapshot [bytes]; an empty array stands for the empty state. */
     fun restore(bytes: ByteArray) {
@@ -233,19 +270,23 @@
         jobs.clear()
         liveJobIds.clear()
         startable.clear()
-        pendingCounts.clear()
         runsByWorker.clear()
-        image.jobs.forEach { indexJob(it) }
+        acceptedQueues.restore(image.queues)
+        removedTeams.restore(image.removedTeams)
+        image.jobs.forEach { indexJob(it, image.queues.getOrNull(it.queueIndex)) }
     }
 
-    private fun indexJob(job: Job) {
+    /** Adds [job] of a snapshot, which tells its [queue] unless an earlier version made it. */
+    private fun indexJob(
+        job: Job,
+        queue: AcceptedQueue?,
+    ) {
         job.normaliseGangs()
         job.sequence = ++lastSequence
         jobs[job.id] = job
-        if (!job.phase.isFinal || job.mayHaveActiveRuns) liveJobIds.add(job.id)
-        updateStartable(job)
         if (job.hasStartedTask()) job.started = true
-        if (job.isPending) pendingCounts.merge(job.request.queue, 1, Int::plus)
+        val isLive = !job.phase.isFinal || job.mayHaveActiveRuns
+        if (isLive) addLive(job, queue ?: acceptedQueues.of(queueNamed(job.request.queue), configuration))
         job.steps.forEachIndexed { stepIndex, step ->
             step.tasks.forEachIndexed { taskIndex, task ->
                 val worker = task.worker
@@ -259,6 +300,8 @@
         val configuration: Configuration? = null,
         val drained: List<String> = emptyList(),
         val jobs: List<Job> = emptyList(),
+        val queues: List<AcceptedQueue> = emptyList(),
+        val removedTeams: List<Team> = emptyList(),
     )
 
     private companion object {
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.Transient
 import rhubarbknot.flow.model.JobRequest
+import rhubarbknot.flow.model.Queue
 import rhubarbknot.flow.model.RunId
 import rhubarbknot.flow.model.TaskId
 import rhubarbknot.flow.model.WorkerCrash
@@ -60,6 +61,7 @@
  * @property request the submitted request; payload and steps are dropped once the job is final and none of its runs may
  *   exist.
  * @property steps state of the steps; emptied at the same time.
+ * @property queueIndex position of its queue among those of the snapshot that holds the job; -1 for none.
  * @property started whether a worker is known to have started a run of any task.
  */
 @Serializable
@@ -70,10 +72,18 @@
     var phase: JobPhase = JobPhase.QUEUED,
     var finishedAtMillis: Long = 0,
     var started: Boolean = false,
+    internal var queueIndex: Int = -1,
 ) {
     @Transient
     private var progress = JobProgress(request.steps, steps)
 
+    /** The queue that accepted the job; null once the job is over. */
+    @Transient
+    internal var accepted: AcceptedQueue? = null
+
+    /** Settings of the queue of the job; null once the job is over. They outlive the queue's configuration. */
+    val queue: Queue? get() = accepted?.queue
+
     /** Position among the accepted jobs. */
     @Transient
     internal var sequence = 0L
--- a/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/DispatcherSpec.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import rhubarbknot.core.model.Resources
+import rhubarbknot.flow.FlowFixture.pendingIn
 import rhubarbknot.flow.FlowFixture.report
 import rhubarbknot.flow.FlowFixture.step
 import rhubarbknot.flow.dispatch.DispatchEffect
@@ -123,14 +124,14 @@
         @Test
         fun `counts a job as pending until a worker has confirmed one of its runs`() {
             val start = submitAndStart()
-            expectThat(state.pending("q")).isEqualTo(1)
-            expectThat(state.pending("other")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
+            expectThat(state.pendingIn("other")).isEqualTo(0)
             reply(start, WorkerReply.NotSent)
             val next = startCalls(dispatchAll(300)).single()
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
             reply(next, WorkerReply.Done(now))
             dispatchAll(STARTED_JOBS_MILLIS)
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
 
         @Test
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowFixture.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowFixture.kt
@@ -13,6 +13,7 @@
 import rhubarbknot.flow.model.Team
 import rhubarbknot.flow.model.WorkerIncarnation
 import rhubarbknot.flow.model.WorkerReport
+import rhubarbknot.flow.state.FlowState
 
 /** Builders for test data: one queue, one team and workers with four cores. */
 internal object FlowFixture {
@@ -54,6 +55,9 @@
         address: String = "10.0.0.1:$id",
     ) = WorkerReport(WorkerIncarnation(id, born), "pool", address, zone, draining, ROOM, emptyList(), "", clockMillis, sequence)
 
+    /** Number of pending jobs of the queue called [queue], configured or not. */
+    fun FlowState.pendingIn(queue: String): Int = pending(configuration?.queue(queue) ?: Queue(queue, "", "", ""))
+
     fun run(
         job: String,
         step: Int = 0,
--- a/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/FlowStateSpec.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import rhubarbknot.flow.FlowFixture.end
+import rhubarbknot.flow.FlowFixture.pendingIn
 import rhubarbknot.flow.FlowFixture.request
 import rhubarbknot.flow.FlowFixture.run
 import rhubarbknot.flow.FlowFixture.step
@@ -188,7 +189,7 @@
         val restored = FlowState().also { it.restore(state.snapshot()) }
         expectThat(restored.snapshot().toList()).isEqualTo(state.snapshot().toList())
         expectThat(restored.runsOn(worker)).isEqualTo(state.runsOn(worker))
-        expectThat(restored.pending("q")).isEqualTo(state.pending("q"))
+        expectThat(restored.pendingIn("q")).isEqualTo(state.pendingIn("q"))
         expectThat(restored.drainedZones).isEqualTo(setOf("z1"))
     }
 
@@ -204,12 +205,12 @@
             assign(run("a"), run("b"))
             reportEnd(run("a"), RunOutcome.REJECTED)
             reportEnd(run("b"), RunOutcome.LOST)
-            expectThat(state.pending("q")).isEqualTo(2)
+            expectThat(state.pendingIn("q")).isEqualTo(2)
             started("a", "unknown")
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
             started("a")
             state.apply(FlowCommand.Cancel("b", 5))
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
 
         @Test
@@ -219,7 +220,7 @@
             assign(run("a"), run("b"))
             started("a")
             state.restore(state.snapshot())
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
         }
 
         @Test
@@ -229,7 +230,7 @@
             assign(run("a"), run("b"))
             reportEnd(run("a"))
             reportEnd(run("b"), RunOutcome.FAILED)
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/NewLeaderSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/NewLeaderSpec.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.DisplayName
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import rhubarbknot.flow.FlowFixture.pendingIn
 import rhubarbknot.flow.FlowFixture.report
 import rhubarbknot.flow.FlowFixture.step
 import rhubarbknot.flow.dispatch.FencingToken
@@ -66,11 +67,11 @@
         @Test
         fun `counts a job of an earlier leader until a worker lists one of its runs`() {
             val start = startAndChangeLeader()
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
             dispatcher.workerReported(report("w1", clockMillis = now, sequence = 2), now)
             reply(dispatchAll().renewals.single(), runsReply(running = listOf(RunningRun(start.run, ""))))
             dispatchAll(STARTED_JOBS_MILLIS)
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
 
         @Test
@@ -78,7 +79,7 @@
             startAndChangeLeader()
             loseWorker()
             expectThat(state.occupiedWorkers).isEmpty()
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
         }
 
         @Test
@@ -90,7 +91,7 @@
             changeLeader()
             loseWorker()
             expectThat(state.occupiedWorkers).isEmpty()
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
 
         @Test
@@ -100,7 +101,7 @@
             reply(startCalls(dispatchAll()).first(), WorkerReply.Done(now))
             dispatchAll(STARTED_JOBS_MILLIS)
             changeLeader()
-            expectThat(state.pending("q")).isEqualTo(0)
+            expectThat(state.pendingIn("q")).isEqualTo(0)
         }
 
         @Test
@@ -109,7 +110,7 @@
             dispatcher.workerReported(report("w1", born = 2, clockMillis = 0), now)
             reply(dispatchAll().renewals.last { it.worker.born == 2L }, runsReply(born = 2, clock = 0))
             dispatchAll(STARTED_JOBS_MILLIS)
-            expectThat(state.pending("q")).isEqualTo(1)
+            expectThat(state.pendingIn("q")).isEqualTo(1)
         }
     }
 
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/ClusterSimulation.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/ClusterSimulation.kt
@@ -23,7 +23,7 @@
     val acceptedCount get() = callers.accepted.size
 
     fun play() {
-        callers.configure()
+        callers.configure(complete = true)
         cluster.advance(STARTUP_MILLIS)
         cluster.every(submitIntervalMillis) { if (cluster.now < TRAFFIC_END_MILLIS) callers.submit() }
         cluster.every(CONFIGURE_INTERVAL_MILLIS) { if (cluster.now < TRAFFIC_END_MILLIS) callers.configure() }
@@ -37,6 +37,7 @@
             cluster.advance(cluster.random.nextLong(MAX_FAULT_INTERVAL_MILLIS))
         }
         faults.stop()
+        callers.configure(complete = true)
         cluster.advance(recoveryMillis)
         callers.checkFinalState()
         cluster.advance(LAST_ANSWERS_MILLIS)
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/HostReplacementSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/HostReplacementSpec.kt
@@ -53,7 +53,7 @@
         val founders = cluster.controls.toList()
         val removed = founders[case.removed]
         val wiped = founders[case.wiped]
-        callers.configure()
+        callers.configure(complete = true)
         cluster.advance(STARTUP_MILLIS)
         cluster.every(SUBMIT_INTERVAL_MILLIS) { callers.submit() }
         if (case.removal == Removal.PLANNED) {
--- a/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/world/SimulatedCallers.kt
@@ -45,8 +45,9 @@
     var acknowledgedVersion = 0L
         private set
 
-    fun configure() {
-        val next = configuration(++lastVersion)
+    /** Sends the next version: some rename or remove queues or the team for a while, unless it has to be [complete]. */
+    fun configure(complete: Boolean = false) {
+        val next = configuration(++lastVersion, complete)
         sendUntilDone(FlowRequest.Configure(next)) { acknowledgedVersion = maxOf(acknowledgedVersion, next.version) }
     }
 
@@ -59,12 +60,16 @@
         }
     }
 
-    private fun configuration(version: Long): Configuration {
+    private fun configuration(
+        version: Long,
+        complete: Boolean,
+    ): Configuration {
+        val change = if (complete) null else ConfigurationChange.entries.getOrNull((version % CHANGE_PERIOD).toInt())
         val eligibility = EligibilitySettings(10.0, 0.5, 2_000)
         val queues =
             listOf("urgent" to 0, "later" to 2).map { (name, priority) ->
                 Queue(
-                    name,
+                    if (change == ConfigurationChange.RENAMED_QUEUE) "$name-$version" else name,
                     "host",
                     "/$name/",
                     "pool",
@@ -77,9 +82,9 @@
             }
         return Configuration(
             version,
-            queues,
+            if (change == ConfigurationChange.REMOVED_QUEUE) queues.dropLast(1) else queues,
             listOf(Pool("pool")),
-            listOf(Team("team", listOf("key"), ceiling = ceiling)),
+            if (change == ConfigurationChange.REMOVED_TEAM) emptyList() else listOf(Team("team", listOf("key"), ceiling = ceiling)),
             document = "$version",
         )
     }
@@ -212,7 +217,15 @@
             if (answer != FlowAnswer.QueueIs(waiting)) violations += "PENDING $queue has $answer, but $waiting jobs wait"
         }
 
+    private enum class ConfigurationChange {
+        RENAMED_QUEUE,
+        REMOVED_QUEUE,
+        REMOVED_TEAM,
+    }
+
     private companion object {
+        /** Versions from one kind of change to the same one again; the others change nothing. */
+        const val CHANGE_PERIOD = 5L
         const val RETRY_MILLIS = 250L
 
         /** One gang that the workers can't hold comes with this many jobs. */
