Planner: a function a step; wait reasons of finished jobs make room for others; finished jobs share one JobProgress

Change: Planner.placeStep; loggedReasons drops finished jobs when it is full; JobProgress.NONE. Result: tests of flow and flowd pass.

--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Dispatcher.kt
@@ -130,7 +130,7 @@
     }
 
     private fun plan(now: Long) {
-        // Their starts are all sent in the turn in which they are committed.
+        // Their starts are all sent in the turn in which they are committed, which must stay short.
         if (runs.proposedCount >= MAX_PROPOSED_RUNS) return
         // What changes during a pass is seen by the next one.
         if (!planner.isUnfinished) {
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/Planner.kt
@@ -57,6 +57,7 @@
 
     private fun beginPass(configuration: Configuration): PlanningPass {
         queue.removeFinished()
+        if (loggedReasons.size >= MAX_LOGGED_REASONS) loggedReasons.keys.removeIf { queue.isFinished(it.job) }
         usage.releaseReservations()
         return PlanningPass(configuration).also { pass = it }
     }
@@ -79,32 +80,44 @@
             val free = pools[step.queue.pool] ?: FreeCapacity(emptyList(), pass.reservations(step.queue.pool), ends, now)
             budget.spend(1 + free.workers.size)
             val maxRuns = MAX_RUNS - placed.size
-            when (val result = placer.place(step, free, runs, now, maxRuns)) {
-                is PlacementResult.Placed -> {
-                    loggedReasons.remove(step.key)
-                    budget.spend(result.runs.size)
-                    result.runs.forEach { run ->
-                        free.allocate(run.worker, run.demand)
-                        usage.add(run.team, run.demand)
-                    }
-                    placed += result.runs
-                    // The rest of the step keeps its place in the order.
-                    if (result.runs.size >= maxRuns && step.waitingCount > result.runs.size) pass.steps += step
-                }
-                is PlacementResult.NotPlaced -> {
-                    logWaitReason(step, result.reason, now)
-                    if (step.spec.gang) {
-                        budget.spend(step.spec.count)
-                        reserveForGang(step, result.reason, free, now)
-                    }
-                }
-            }
+            val runs = placeStep(step, free, budget, now, maxRuns)
+            placed += runs
+            // The rest of a step that had to be cut keeps its place in the order.
+            if (runs.size >= maxRuns && step.waitingCount > runs.size) pass.steps += step
         }
         // The usage is added again when the runs are tracked.
         placed.forEach { usage.remove(it.team, it.demand) }
         return placed
     }
 
+    /** Places at most [maxRuns] tasks of [step] into [free], or reserves room for it; returns the placed runs. */
+    private fun placeStep(
+        step: WaitingStep,
+        free: FreeCapacity,
+        budget: OperationBudget,
+        now: Long,
+        maxRuns: Int,
+    ): List<PlannedRun> =
+        when (val result = placer.place(step, free, runs, now, maxRuns)) {
+            is PlacementResult.Placed -> {
+                loggedReasons.remove(step.key)
+                budget.spend(result.runs.size)
+                result.runs.forEach { run ->
+                    free.allocate(run.worker, run.demand)
+                    usage.add(run.team, run.demand)
+                }
+                result.runs
+            }
+            is PlacementResult.NotPlaced -> {
+                logWaitReason(step, result.reason, now)
+                if (step.spec.gang) {
+                    budget.spend(step.spec.count)
+                    reserveForGang(step, result.reason, free, now)
+                }
+                emptyList()
+            }
+        }
+
     /** Reserves the resource that a gang waits for, so that later steps do not take it. */
     private fun reserveForGang(
         step: WaitingStep,
--- a/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/dispatch/WorkQueue.kt
@@ -84,11 +84,13 @@
     /** Removes the cached data of finished jobs once enough of it has accumulated. */
     fun removeFinished() {
         if (timings.size <= MAX_FINISHED_JOBS + state.liveJobCount) return
-        val isFinished = { id: String -> state.job(id)?.phase?.isFinal ?: true }
-        timings.keys.removeIf(isFinished)
-        beyondShare.removeIf(isFinished)
+        timings.keys.removeIf { isFinished(it) }
+        beyondShare.removeIf { isFinished(it) }
     }
 
+    /** Whether the job [id] is over or unknown. */
+    fun isFinished(id: String): Boolean = state.job(id)?.phase?.isFinal ?: true
+
     companion object {
         private const val MAX_FINISHED_JOBS = 500
 
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/Job.kt
@@ -75,7 +75,7 @@
     internal var queueIndex: Int = -1,
 ) {
     @Transient
-    private var progress = JobProgress(request.steps, steps)
+    private var progress = if (steps.isEmpty()) JobProgress.NONE else JobProgress(request.steps, steps)
 
     /** The queue that accepted the job; null once the job is over. */
     @Transient
@@ -218,7 +218,7 @@
     internal fun retire() {
         steps = emptyList()
         request = request.copy(payload = "", steps = emptyList())
-        progress = JobProgress(emptyList(), emptyList())
+        progress = JobProgress.NONE
     }
 
     /** Moves what the members of gangs share to their first tasks: snapshots of earlier versions hold it at each member. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/state/JobProgress.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/state/JobProgress.kt
@@ -67,6 +67,11 @@
     private fun stepChanged(step: Int) {
         startableSteps.set(step, isReady(step) && !states[step].isDone && steps[step].unassignedCount > 0)
     }
+
+    companion object {
+        /** Shared by all jobs that are over. */
+        val NONE = JobProgress(emptyList(), emptyList())
+    }
 }
 
 /** The steps that depend on each step, in arrays, since a job can have more than a hundred thousand dependencies. */
