RequestRouter: no refusal for a submission of which an earlier copy may have been accepted

A gateway sent it to a leader that was lost, sent it again to the next one, and a configuration without the team had come in between; the second copy was refused with UNKNOWN_KEY, the first one was in the log. Change: a refusal of a submission that follows a copy whose outcome is unknown is answered as an unknown outcome (504). The caller asks again. Conclusion: mended.

--- a/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/FlowRequest.kt
@@ -24,6 +24,9 @@
     /** Time after its arrival for which the request may still be passed on, in milliseconds. */
     val validMillis: Long get() = REPEATABLE_VALID_MILLIS
 
+    /** Whether a refusal promises that the request has had no effect and will have none. */
+    val isRefusalBinding: Boolean get() = false
+
     @Serializable
     @SerialName("submit")
     data class Submit(
@@ -32,6 +35,7 @@
         val steps: List<StepSpec>,
     ) : FlowRequest {
         override val subject: String get() = to.path
+        override val isRefusalBinding: Boolean get() = true
     }
 
     /** Queries the state of a job, or of a queue when the path names no job. */
--- a/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
+++ b/flow/src/main/kotlin/rhubarbknot/flow/node/RequestRouter.kt
@@ -80,7 +80,8 @@
             return expire(now)
         }
         pendingRequests.remove(number)
-        return listOf(Action.Reply(number, answer, entry.request, now - entry.receivedAt))
+        val isInDoubt = answer is FlowAnswer.Refused && entry.request.isRefusalBinding && entry.earlierCopyMayHaveRun
+        return listOf(Action.Reply(number, if (isInDoubt) FlowAnswer.OutcomeUnknown else answer, entry.request, now - entry.receivedAt))
     }
 
     /**
@@ -110,6 +111,7 @@
         entry.sentTo = to
         entry.sentAt = now
         entry.sendCount++
+        entry.earlierCopyMayHaveRun = entry.mayHaveRun
         entry.mayHaveRun = true
         return if (to == self) Action.Handle(number, entry.request) else Action.Forward(to, number, entry.request)
     }
@@ -155,6 +157,12 @@
         var retryAt = 0L
         var sendCount = 0
 
+        /**
+         * Whether a leader may have executed a copy sent before the last one. A refusal of the last one, by a newer configuration, say,
+         * then does not tell that the request has not run.
+         */
+        var earlierCopyMayHaveRun = false
+
         /** Whether a leader may have executed the request. */
         var mayHaveRun = false
     }
--- a/flow/src/test/kotlin/rhubarbknot/flow/RequestRouterSpec.kt
+++ b/flow/src/test/kotlin/rhubarbknot/flow/RequestRouterSpec.kt
@@ -6,6 +6,7 @@
 import rhubarbknot.flow.node.FlowRequest
 import rhubarbknot.flow.node.Refusal
 import rhubarbknot.flow.node.RequestRouter
+import rhubarbknot.flow.node.RequestTarget
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -14,6 +15,7 @@
 class RequestRouterSpec {
     private val router = RequestRouter("self", 0)
     private val request = FlowRequest.ReadConfiguration
+    private val submission = FlowRequest.Submit(RequestTarget("host", "/q/a", "key"), "payload", listOf(FlowFixture.step()))
 
     private fun replies(actions: List<RequestRouter.Action>) = actions.filterIsInstance<RequestRouter.Action.Reply>().map { it.answer }
 
@@ -64,6 +66,29 @@
         expectThat(replies(router.tick(7_000)).single()).isEqualTo(FlowAnswer.OutcomeUnknown)
     }
 
+    // A job ran although its caller was told that it was refused: an earlier copy had been accepted by a leader that was then lost.
+    @Test
+    fun `reports an unknown outcome for a submission that is refused after an earlier copy may have been accepted`() {
+        val refusal = FlowAnswer.Refused(Refusal.UNKNOWN_KEY)
+        router.leaderChanged("a", 0)
+        router.submit(1, submission, 0)
+        router.submit(2, submission, 0)
+        expectThat(replies(router.answerReceived(2, refusal, 10)).single()).isEqualTo(refusal)
+        router.leaderChanged(null, 100)
+        expectThat(forwards(router.leaderChanged("b", 900))).isEqualTo(listOf("b"))
+        expectThat(replies(router.answerReceived(1, refusal, 910)).single()).isEqualTo(FlowAnswer.OutcomeUnknown)
+    }
+
+    @Test
+    fun `refuses a submission that the first leader did not take`() {
+        val refusal = FlowAnswer.Refused(Refusal.UNKNOWN_KEY)
+        router.leaderChanged("a", 0)
+        router.submit(1, submission, 0)
+        router.answerReceived(1, FlowAnswer.Refused(Refusal.NO_LEADER), 10)
+        expectThat(forwards(router.leaderChanged("b", 900))).isEqualTo(listOf("b"))
+        expectThat(replies(router.answerReceived(1, refusal, 910)).single()).isEqualTo(refusal)
+    }
+
     @Test
     fun `refuses a request as not run when the only leader that received it refused it`() {
         router.leaderChanged("a", 0)
