--- a/review/standins-3/Stand.java
+++ b/review/standins-3/Stand.java
@@ -265,6 +265,27 @@
             note("SIGKILL " + name);
         }
 
+        /** The name of the control process that last said that it leads. */
+        String leader() throws IOException {
+            String leader = "";
+            long latest = 0;
+            for (int i = 0; i < controls; i++) {
+                for (String line : Files.readAllLines(temp.resolve("core-" + i + ".log"))) {
+                    if (!line.contains("\"event\":\"leading\"")) continue;
+                    long at = (Long) Json.object(line.getBytes(StandardCharsets.UTF_8)).get("at");
+                    if (at > latest) leader = "core-" + i;
+                    latest = Math.max(latest, at);
+                }
+            }
+            return leader;
+        }
+
+        /** Asks a process to end, as the platform does in a rolling restart. */
+        void terminate(String name) {
+            processes.get(name).destroy();
+            note("SIGTERM " + name);
+        }
+
         /** Names of the processes that have ended by themselves. */
         List<String> ended() {
             List<String> ended = new ArrayList<>();
@@ -383,6 +404,11 @@
         default boolean leavesUnanswered(Minion minion, String path, Map<String, Object> order) {
             return false;
         }
+
+        /** The status with which an unhealthy minion turns the order away, or 0; it has then done nothing. */
+        default int turnsAway(Minion minion, String path, Map<String, Object> order) {
+            return 0;
+        }
     }
 
     static final Manners SOUND = new Manners() { };
@@ -400,6 +426,13 @@
         volatile Life life;
         volatile long taskMillis;
 
+        /** How long a stop takes; while it lasts, the run is still listed as running. */
+        volatile long stopMillis;
+
+        /** Whether its tasks stand still: they run, but make no progress and don't end. */
+        volatile boolean standsStill;
+        volatile Runnable onStop = () -> { };
+
         Minion(Deployment d, int host, String id, long cpu, String label, long taskMillis, Manners manners) throws IOException {
             this.d = d;
             this.id = id;
@@ -424,6 +457,11 @@
             if (old != null) old.end("crash");
         }
 
+        boolean holds(String task) {
+            Life now = life;
+            return now != null && now.holds(task);
+        }
+
         boolean isRunning(String task) {
             Life now = life;
             return now != null && now.runs(task);
@@ -448,6 +486,9 @@
         final long origin = System.nanoTime();
         final HttpServer server;
         final Map<String, Run> running = new LinkedHashMap<>();
+
+        /** Runs that are being stopped, with the time at which they will have ended. */
+        final Map<Run, Long> stopping = new LinkedHashMap<>();
         final Map<String, Long> over = new LinkedHashMap<>();
         final List<Object[]> finished = new ArrayList<>();
         volatile String state = "ready";
@@ -488,8 +529,9 @@
             return running.containsKey(task);
         }
 
-        synchronized int count() {
-            return running.size();
+        /** Whether a run of the task is there, be it that it is being stopped. */
+        synchronized boolean holds(String task) {
+            return running.containsKey(task) || stopping.keySet().stream().anyMatch(r -> r.task.equals(task));
         }
 
         void end(String how) {
@@ -530,16 +572,21 @@
                 synchronized (this) {
                     long now = clock();
                     for (Run run : new ArrayList<>(running.values())) {
-                        if (now >= run.endsAt) finish(run, "done");
+                        if (now >= run.endsAt && !minion.standsStill) finish(run, "done");
                         else if (now > deadline) finish(run, "lapsed");
                     }
+                    for (Map.Entry<Run, Long> stop : new ArrayList<>(stopping.entrySet())) {
+                        if (now < stop.getValue()) continue;
+                        stopping.remove(stop.getKey());
+                        finish(stop.getKey(), "stopped");
+                    }
                 }
                 sleep(10);
             }
         }
 
         void finish(Run run, String how) {
-            running.remove(run.task);
+            running.remove(run.task, run);
             over.merge(run.task, run.run, Math::max);
             finished.add(new Object[] {++lastEnd, run.task, run.run, how});
             note("minion " + minion.id + " task " + run.task + " run " + run.run + " " + how);
@@ -561,7 +608,11 @@
                     sleep(5_000);
                     return;
                 }
-                if (path.endsWith("/run-start")) start(exchange, order);
+                int refusal = minion.manners.turnsAway(minion, path, order);
+                if (refusal > 0) {
+                    note("minion " + minion.id + " turns " + path + " of " + order.get("task") + " away with " + refusal);
+                    answer(exchange, refusal, "{\"clock_ms\":" + clock() + "}");
+                } else if (path.endsWith("/run-start")) start(exchange, order);
                 else if (path.endsWith("/run-stop")) stop(exchange, order);
                 else if (path.endsWith("/hold")) hold(exchange, order);
                 else answer(exchange, 404, "{}");
@@ -615,9 +666,14 @@
                 return;
             }
             Run now = running.get(task);
-            if (now != null && now.run <= run) finish(now, "stopped");
+            if (now != null && now.run <= run) {
+                running.remove(task);
+                stopping.put(now, clock() + minion.stopMillis);
+                note("minion " + minion.id + " is told to stop task " + task + " run " + run + ", which takes " + minion.stopMillis + " ms");
+            }
             over.merge(task, run, Math::max);
             answer(exchange, 200, "{\"clock_ms\":" + clock() + "}");
+            if (now != null) thread(minion.onStop);
         }
 
         void hold(HttpExchange exchange, Map<String, Object> order) throws IOException {
@@ -642,9 +698,12 @@
                 if (ended) return;
                 out.append("{\"clock_ms\":").append(clock()).append(",\"born\":").append(born).append(",\"running\":[");
                 int n = 0;
-                for (Run run : running.values()) {
+                List<Run> listed = new ArrayList<>(running.values());
+                listed.addAll(stopping.keySet());
+                for (Run run : listed) {
                     out.append(n++ > 0 ? "," : "").append("[\"").append(run.task).append("\",").append(run.run).append(",\"\",");
-                    out.append(Math.min(99, Math.max(0, 100 - (run.endsAt - clock()) * 100 / Math.max(1, minion.taskMillis)))).append(",100]");
+                    long left = Math.max(0, run.endsAt - clock()) * 100 / Math.max(1, minion.taskMillis);
+                    out.append(minion.standsStill ? 10 : Math.max(0, Math.min(99, 100 - left))).append(",100]");
                 }
                 out.append("],\"finished\":[");
                 n = 0;
