--- a/review/standins-3/Stand.java
+++ b/review/standins-3/Stand.java
@@ -186,11 +186,19 @@
             return net + host;
         }
 
-        /** The address of the n-th control node, counted from 0. */
+        /** Number of the first control node of those that are there now. */
+        volatile int first;
+
+        /** The address of the n-th control node that was ever started, counted from 0. */
         String control(int n) {
             return ip(11 + n) + ":" + controlPort;
         }
 
+        /** The address of one of the control nodes that are there now; any number stands for one of them. */
+        String anyControl(int n) {
+            return control(first + n % controls);
+        }
+
         String front(int n) {
             return ip(fronts.get(n)) + ":" + frontPort;
         }
@@ -224,7 +232,7 @@
 
         List<String> seeds() {
             List<String> seeds = new ArrayList<>();
-            for (int i = 0; i < Math.min(3, controls); i++) seeds.add(control(i));
+            for (int i = 0; i < Math.min(3, controls); i++) seeds.add(anyControl(i));
             return seeds;
         }
 
@@ -265,25 +273,13 @@
             note("SIGKILL " + name);
         }
 
-        /** The name of the control process that last said that it leads. */
-        String leader() throws IOException {
-            String leader = "";
-            long latest = 0;
-            for (int i = 0; i < controls; i++) {
-                for (String line : Files.readAllLines(temp.resolve("core-" + i + ".log"))) {
-                    if (!line.contains("\"event\":\"leading\"")) continue;
-                    long at = (Long) Json.object(line.getBytes(StandardCharsets.UTF_8)).get("at");
-                    if (at > latest) leader = "core-" + i;
-                    latest = Math.max(latest, at);
-                }
-            }
-            return leader;
-        }
-
-        /** Asks a process to end, as the platform does in a rolling restart. */
-        void terminate(String name) {
-            processes.get(name).destroy();
+        /** Asks a process to end, and kills it after grace_s, as the platform does. */
+        void terminate(String name) throws InterruptedException {
+            Process process = processes.remove(name);
+            process.destroy();
             note("SIGTERM " + name);
+            if (!process.waitFor(6, TimeUnit.SECONDS)) process.destroyForcibly();
+            note("ended " + name);
         }
 
         /** Names of the processes that have ended by themselves. */
@@ -346,7 +342,7 @@
         long until = System.nanoTime() + forMillis * 1_000_000;
         int n = 0;
         while (System.nanoTime() < until) {
-            Answer answer = call(d.control(n++ % d.controls), method, path, body, 1_000);
+            Answer answer = call(d.anyControl(n++), method, path, body, 1_000);
             if (answer.status >= 200 && answer.status < 300 || answer.status == 400) {
                 note("operator " + method + " " + path + " -> " + answer.status);
                 return answer.status;
@@ -552,7 +548,7 @@
                     + "\"labels\":[\"" + minion.label + "\",\"r1-1\"],\"clock_ms\":" + clock() + ",\"born\":" + born + ",\"call_seq\":" + ++callSeq
                     + ("draining".equals(state) ? ",\"remaining_ms\":4000" : "") + "}";
                 boolean drains = state.equals("draining");
-                Answer answer = call(minion.d.control(node % minion.d.controls), "PUT", "/rhubarbknot/instances/" + minion.id, body, 1_000);
+                Answer answer = call(minion.d.anyControl(node), "PUT", "/rhubarbknot/instances/" + minion.id, body, 1_000);
                 if (answer.status < 200 || answer.status > 299) {
                     node++;
                     sleep(50);
