review: case 12, two failing services keep an idle cell from starting anything else; cases in order of gravity

Cause: failures of two jobs that last count as the worker's, and lasting tasks use up each one run on probation.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 export TROUBLE="${TROUBLE:-1}"
-exec java -Xmx128m -Djdk.httpclient.allowRestrictedHeaders=host -cp review/standins-3/target BornBack review/12
+exec java -Xmx128m -Djdk.httpclient.allowRestrictedHeaders=host -cp review/standins-3/target FailingServices review/12
--- a/review/standins-3/Stand.java
+++ b/review/standins-3/Stand.java
@@ -427,7 +427,19 @@
 
         /** Whether its tasks stand still: they run, but make no progress and don't end. */
         volatile boolean standsStill;
-        volatile Runnable onStop = () -> { };
+
+        /** Tasks of jobs whose id begins so fail by themselves, this long after their start; null for none. */
+        volatile String failingJobs;
+        volatile long failsAfterMillis;
+
+        /** Tasks of jobs whose id begins so run until they are stopped; null for none. */
+        volatile String lastingJobs;
+
+        /** How many runs have ended how, by the first four letters of their jobs. */
+        final Map<String, Integer> ends = new ConcurrentHashMap<>();
+
+        /** Whether starts and ends are not noted one by one. */
+        volatile boolean quiet;
 
         Minion(Deployment d, int host, String id, long cpu, String label, long taskMillis, Manners manners) throws IOException {
             this.d = d;
@@ -468,11 +480,13 @@
         final String task;
         final long run;
         final long endsAt;
+        final boolean fails;
 
-        Run(String task, long run, long endsAt) {
+        Run(String task, long run, long endsAt, boolean fails) {
             this.task = task;
             this.run = run;
             this.endsAt = endsAt;
+            this.fails = fails;
         }
     }
 
@@ -568,7 +582,7 @@
                 synchronized (this) {
                     long now = clock();
                     for (Run run : new ArrayList<>(running.values())) {
-                        if (now >= run.endsAt && !minion.standsStill) finish(run, "done");
+                        if (now >= run.endsAt && !minion.standsStill) finish(run, run.fails ? "failed" : "done");
                         else if (now > deadline) finish(run, "lapsed");
                     }
                     for (Map.Entry<Run, Long> stop : new ArrayList<>(stopping.entrySet())) {
@@ -585,7 +599,8 @@
             running.remove(run.task, run);
             over.merge(run.task, run.run, Math::max);
             finished.add(new Object[] {++lastEnd, run.task, run.run, how});
-            note("minion " + minion.id + " task " + run.task + " run " + run.run + " " + how);
+            if (!minion.quiet) note("minion " + minion.id + " task " + run.task + " run " + run.run + " " + how);
+            minion.ends.merge(run.task.substring(0, 4) + " " + how, 1, Integer::sum);
             notifyAll();
         }
 
@@ -646,8 +661,11 @@
                     reason = "late";
                 } else {
                     extend(order);
-                    running.put(task, new Run(task, run, clock() + minion.taskMillis));
-                    note("minion " + minion.id + " starts task " + task + " run " + run + (state.equals("draining") ? " while draining" : ""));
+                    boolean fails = minion.failingJobs != null && task.startsWith(minion.failingJobs);
+                    boolean lasts = minion.lastingJobs != null && task.startsWith(minion.lastingJobs);
+                    long millis = fails ? minion.failsAfterMillis : lasts ? Long.MAX_VALUE / 2 : minion.taskMillis;
+                    running.put(task, new Run(task, run, clock() + millis, fails));
+                    if (!minion.quiet) note("minion " + minion.id + " starts task " + task + " run " + run + (state.equals("draining") ? " while draining" : ""));
                 }
             }
             if (reason == null) answer(exchange, 200, "{\"clock_ms\":" + clock() + "}");
@@ -669,7 +687,6 @@
             }
             over.merge(task, run, Math::max);
             answer(exchange, 200, "{\"clock_ms\":" + clock() + "}");
-            if (now != null) thread(minion.onStop);
         }
 
         void hold(HttpExchange exchange, Map<String, Object> order) throws IOException {
