--- a/review/standins-3/Stand.java
+++ b/review/standins-3/Stand.java
@@ -435,6 +435,10 @@
         /** Tasks of jobs whose id begins so run until they are stopped; null for none. */
         volatile String lastingJobs;
 
+        /** Tasks of jobs whose id begins so take this long; null for none. */
+        volatile String longJobs;
+        volatile long longMillis;
+
         /** How many runs have ended how, by the first four letters of their jobs. */
         final Map<String, Integer> ends = new ConcurrentHashMap<>();
 
@@ -479,18 +483,27 @@
     static class Run {
         final String task;
         final long run;
+        final long millis;
         final long endsAt;
         final boolean fails;
 
-        Run(String task, long run, long endsAt, boolean fails) {
+        Run(String task, long run, long now, long millis, boolean fails) {
             this.task = task;
             this.run = run;
-            this.endsAt = endsAt;
+            this.millis = millis;
+            this.endsAt = now + millis;
             this.fails = fails;
         }
+
+        /** How much of its work is done. */
+        long percent(long now) {
+            return Math.max(0, Math.min(99, 100 - Math.max(0, endsAt - now) * 100 / Math.max(1, millis)));
+        }
     }
 
     static class Life {
+        /** Some days. */
+        static final long LASTING_MILLIS = 1_000_000_000;
         final Minion minion;
         final long born;
         final long origin = System.nanoTime();
@@ -663,8 +676,9 @@
                     extend(order);
                     boolean fails = minion.failingJobs != null && task.startsWith(minion.failingJobs);
                     boolean lasts = minion.lastingJobs != null && task.startsWith(minion.lastingJobs);
-                    long millis = fails ? minion.failsAfterMillis : lasts ? Long.MAX_VALUE / 2 : minion.taskMillis;
-                    running.put(task, new Run(task, run, clock() + millis, fails));
+                    boolean takesLong = minion.longJobs != null && task.startsWith(minion.longJobs);
+                    long millis = fails ? minion.failsAfterMillis : lasts ? LASTING_MILLIS : takesLong ? minion.longMillis : minion.taskMillis;
+                    running.put(task, new Run(task, run, clock(), millis, fails));
                     if (!minion.quiet) note("minion " + minion.id + " starts task " + task + " run " + run + (state.equals("draining") ? " while draining" : ""));
                 }
             }
@@ -715,8 +729,7 @@
                 listed.addAll(stopping.keySet());
                 for (Run run : listed) {
                     out.append(n++ > 0 ? "," : "").append("[\"").append(run.task).append("\",").append(run.run).append(",\"\",");
-                    long left = Math.max(0, run.endsAt - clock()) * 100 / Math.max(1, minion.taskMillis);
-                    out.append(minion.standsStill ? 10 : Math.max(0, Math.min(99, 100 - left))).append(",100]");
+                    out.append(minion.standsStill ? 10 : run.percent(clock())).append(",100]");
                 }
                 out.append("],\"finished\":[");
                 n = 0;
